Serve four-stage pipelines end to end as separate processes

Cause: the repository was empty; the users ask for the whole path first, thin.

What stands: entry VMs with the callers' API, rules with a named asker a line, configuration by one conditional update, yamux links with protobuf, claims for non-idempotent stages, stewards and permits for cold targets, stand-ins for the platform and the targets, and a demo with 2 data centres, 4 entry VMs and 24 targets as processes.

Ruled out: one update of a claim object for each 10 ms batch. Now one update of an object is under way at a time, what comes meanwhile shares the next, updates of an object are 40 ms apart, and there are 2 objects a time span in place of 8.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Targets for building, testing and measuring radishramp.
+
+TOOLS := $(CURDIR)/.bin
+GOLANGCI_LINT_VERSION := v2.15.0
+BUF_VERSION := v1.75.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+
+.PHONY: setup build generate demo test lint
+
+setup: ## Fetch the libraries and build the linter.
+	go mod download
+	test -x $(TOOLS)/golangci-lint || GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+build: ## Build the binary and the stand-ins.
+	go build -o bin/ . ./tools/standin ./tools/demo
+
+generate: ## Generate the protobuf code again; the result is committed.
+	test -x $(TOOLS)/buf || GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	test -x $(TOOLS)/protoc-gen-go || GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	PATH=$(TOOLS):$$PATH buf generate
+
+demo: build ## Run the whole path as separate processes and send requests through it.
+	tools/demo/run.sh
+
+test: ## Run the tests with the race detector.
+	go test -race ./...
+
+lint: ## Check format and style.
+	test -x $(TOOLS)/golangci-lint || $(MAKE) setup
+	$(TOOLS)/golangci-lint fmt --diff
+	$(TOOLS)/golangci-lint run ./...
--- /dev/null
+++ b/internal/radishentry/admission.go
@@ -0,0 +1,111 @@
+package radishentry
+
+import (
+	"fmt"
+	"sync"
+
+	"golang.org/x/time/rate"
+
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishrule"
+)
+
+// pressure is the share of MaxInFlight from which teams are held to their shares.
+const pressure = 0.8
+
+// Admission decides which requests enter; set the exported fields before first use.
+type Admission struct {
+	// MaxInFlight bounds the requests in flight on this VM.
+	MaxInFlight int
+	// EntryVMs returns how many VMs share the organisation's limits, at least 1.
+	EntryVMs func() int
+
+	mu       sync.Mutex
+	total    int
+	byTeam   map[string]int
+	limiters map[radishrule.LimitKey]*limiter
+}
+
+// limiter enforces one limit rule on this VM.
+type limiter struct {
+	rule  *radishrule.Limit
+	vms   int
+	limit *rate.Limiter
+}
+
+// Enter admits a request or returns radish.ErrShed with the rule that refused it; the caller must call Leave
+// after a nil error.
+func (a *Admission) Enter(rules *radishrule.RuleSet, team *radishrule.Team, pipeline string) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, key := range []radishrule.LimitKey{{Team: team.Name, Pipeline: pipeline}, {Team: team.Name}} {
+		if rule, ok := rules.Limits[key]; ok && !a.limiterOf(key, rule).Allow() {
+			return fmt.Errorf("%w: %s", radish.ErrShed, rule.Line.Text)
+		}
+	}
+	if a.total >= a.MaxInFlight {
+		return fmt.Errorf("%w: %d requests in flight", radish.ErrShed, a.total)
+	}
+	if float64(a.total) >= pressure*float64(a.MaxInFlight) && a.isOverShare(rules, team) {
+		return fmt.Errorf("%w: team is over its share under load", radish.ErrShed)
+	}
+	a.total++
+	if a.byTeam == nil {
+		a.byTeam = make(map[string]int)
+	}
+	a.byTeam[team.Name]++
+	return nil
+}
+
+// Leave ends a request that Enter admitted.
+func (a *Admission) Leave(team *radishrule.Team) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.total--
+	a.byTeam[team.Name]--
+	if a.byTeam[team.Name] == 0 {
+		delete(a.byTeam, team.Name)
+	}
+}
+
+// InFlight returns the admitted requests that have not left.
+func (a *Admission) InFlight() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.total
+}
+
+// limiterOf returns the limiter of a rule, with this VM's part of the organisation's rate.
+func (a *Admission) limiterOf(key radishrule.LimitKey, rule *radishrule.Limit) *rate.Limiter {
+	vms := max(1, a.EntryVMs())
+	l := a.limiters[key]
+	if l != nil && l.rule == rule && l.vms == vms {
+		return l.limit
+	}
+	perVM := rule.RequestsPerSec / float64(vms)
+	burst := max(1, rule.Burst/vms, int(perVM))
+	if l == nil {
+		l = &limiter{limit: rate.NewLimiter(rate.Limit(perVM), burst)}
+	} else {
+		l.limit.SetLimit(rate.Limit(perVM))
+		l.limit.SetBurst(burst)
+	}
+	l.rule, l.vms = rule, vms
+	if a.limiters == nil {
+		a.limiters = make(map[radishrule.LimitKey]*limiter)
+	}
+	a.limiters[key] = l
+	return l.limit
+}
+
+// isOverShare tells whether the team has more in flight than its share among the teams that are active now.
+func (a *Admission) isOverShare(rules *radishrule.RuleSet, team *radishrule.Team) bool {
+	shares := team.Share
+	for name := range a.byTeam {
+		if t, ok := rules.Teams[name]; ok && name != team.Name {
+			shares += t.Share
+		}
+	}
+	fair := float64(a.MaxInFlight) * float64(team.Share) / float64(shares)
+	return float64(a.byTeam[team.Name]) >= fair
+}
--- /dev/null
+++ b/internal/radishentry/problem.go
@@ -0,0 +1,96 @@
+package radishentry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"radishramp.example/radishramp/internal/radishpipeline"
+	"radishramp.example/radishramp/pkg/radish"
+)
+
+// Ran tells a caller whether any of its request ran.
+type Ran string
+
+// Values of Ran.
+const (
+	// RanNot means that no byte of the request was or will be sent to any target.
+	RanNot Ran = "not_run"
+	// RanUnknown means that some stage may have run.
+	RanUnknown Ran = "unknown"
+)
+
+// Effect tells a caller whether a non-idempotent stage may have run.
+type Effect string
+
+// Values of Effect.
+const (
+	EffectNone     Effect = "none"
+	EffectPossible Effect = "possible"
+)
+
+// Problem is the body of a refusal, as application/problem+json (RFC 9457).
+type Problem struct {
+	Type      string `json:"type"`
+	Title     string `json:"title"`
+	Status    int    `json:"status"`
+	Detail    string `json:"detail,omitempty"`
+	Field     string `json:"field,omitempty"`
+	RequestID string `json:"request_id,omitempty"`
+	Ran       Ran    `json:"ran"`
+	Effect    Effect `json:"effect"`
+}
+
+// ProblemContentType is the media type of a Problem.
+const ProblemContentType = "application/problem+json"
+
+func newProblem(status int, kind, field, detail string) *Problem {
+	return &Problem{
+		Type: "urn:radishramp:" + kind, Title: http.StatusText(status), Status: status,
+		Detail: detail, Field: field, Ran: RanNot, Effect: EffectNone,
+	}
+}
+
+// problemOf translates the error of a run.
+func problemOf(err error, result *radishpipeline.Result) *Problem {
+	p := classify(err)
+	if result.Sent {
+		p.Ran = RanUnknown
+	}
+	if result.MayHaveEffect {
+		p.Effect = EffectPossible
+	}
+	return p
+}
+
+func classify(err error) *Problem {
+	switch {
+	case errors.Is(err, radish.ErrKeyMismatch):
+		return newProblem(http.StatusUnprocessableEntity, "key_mismatch", "Idempotency-Key", err.Error())
+	case errors.Is(err, radish.ErrKeyExpired):
+		return newProblem(http.StatusConflict, "key_expired", "Idempotency-Key", err.Error())
+	case errors.Is(err, radish.ErrBadKey):
+		return newProblem(http.StatusBadRequest, "bad_key", "Idempotency-Key", err.Error())
+	case errors.Is(err, radish.ErrMayHaveRun):
+		return newProblem(http.StatusConflict, "outcome_unknown", "", err.Error())
+	case errors.Is(err, radish.ErrBadRequest):
+		return newProblem(http.StatusUnprocessableEntity, "input_refused", "body", err.Error())
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, radish.ErrDeadline):
+		return newProblem(http.StatusGatewayTimeout, "deadline", "", err.Error())
+	case errors.Is(err, radish.ErrNoTarget), errors.Is(err, radish.ErrUnavailable):
+		return newProblem(http.StatusServiceUnavailable, "no_capacity", "", err.Error())
+	default:
+		return newProblem(http.StatusBadGateway, "stage_failed", "", err.Error())
+	}
+}
+
+// write sends the problem as the whole answer.
+func (p *Problem) write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", ProblemContentType)
+	if p.Status == http.StatusServiceUnavailable || p.Status == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", "1")
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
--- /dev/null
+++ b/internal/radishmetric/doc.go
@@ -0,0 +1,2 @@
+// Package radishmetric holds the OpenTelemetry instruments of an entry VM.
+package radishmetric
--- /dev/null
+++ b/internal/radishserve/build.go
@@ -0,0 +1,178 @@
+package radishserve
+
+import (
+	"net/http"
+
+	"github.com/gravitational/trace"
+
+	"radishramp.example/radishramp/internal/radishentry"
+	"radishramp.example/radishramp/internal/radishmetric"
+	"radishramp.example/radishramp/internal/radishpipeline"
+	"radishramp.example/radishramp/internal/radishtarget"
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishclaim"
+	"radishramp.example/radishramp/pkg/radishconfig"
+	"radishramp.example/radishramp/pkg/radishlease"
+	"radishramp.example/radishramp/pkg/radishpeer"
+	"radishramp.example/radishramp/pkg/radishpermit"
+	"radishramp.example/radishramp/pkg/radishroster"
+)
+
+// build makes the parts and connects them; nothing runs yet.
+func (s *Server) build() error {
+	var err error
+	if s.metrics, err = radishmetric.New(); err != nil {
+		return err
+	}
+	s.platform = s.Platform
+	if s.platform == nil {
+		s.platform = s.newPlatformClient()
+	}
+	s.targets = s.Targets
+	if s.targets == nil {
+		s.targets = &radishtarget.Client{HTTP: &http.Client{Transport: radishtarget.NewTransport()}}
+	}
+	s.buildMembership()
+	s.buildCold()
+	s.buildClaims()
+	s.buildEntry()
+	return s.addGauges()
+}
+
+func (s *Server) buildMembership() {
+	vm := s.Settings.VM
+	s.heartbeats = newHeartbeats(s)
+	s.poller = &poller{server: s, last: make(map[string]radishtarget.News)}
+	s.table = &radishtarget.Table{DataCentre: vm.DataCentre, WarmBeliefTTL: s.Settings.Routing.WarmBeliefTTL}
+	s.table.OnNews = s.tellNews
+	s.roster = &radishroster.Roster{
+		Platform: s.platform, Self: vm.Name, DataCentre: vm.DataCentre, ListInterval: s.Settings.Platform.ListInterval,
+		HeartbeatInterval: s.Settings.Peer.HeartbeatInterval, Log: s.Log.Named("roster"),
+	}
+	s.roster.OnList = func() {
+		s.updateTargets()
+		s.connectPeers()
+	}
+	s.holder.OnChange = func(*radishconfig.InForce) {
+		s.updateTargets()
+		s.heartbeats.sendSoon()
+	}
+	s.node = &radishpeer.Node{Name: vm.Name, Handler: s, Log: s.Log.Named("peer")}
+}
+
+// tellNews passes on at once what this VM saw itself and what must not wait: a target that turned cold or leaves.
+func (s *Server) tellNews(n radishtarget.News) {
+	if n.Teller != "" || n.State == radish.TargetWarm {
+		return
+	}
+	s.heartbeats.addNews(n)
+	s.heartbeats.sendSoon()
+}
+
+func (s *Server) buildCold() {
+	vm := s.Settings.VM
+	key := "steward-" + vm.DataCentre
+	s.lease = &radishlease.Lease{
+		Platform: s.platform, Key: key, Name: vm.Name, Duration: s.Settings.Permit.Lease, Log: s.Log.Named("lease"),
+		IsCandidate: func() bool { return s.roster.IsOwner(key, stewardCandidates) },
+	}
+	s.steward = &radishpermit.Steward{Lease: s.lease, MaxPermit: s.Settings.Permit.MaxPermit, Capacity: s.coldCapacity}
+}
+
+func (s *Server) coldCapacity(target string) int {
+	rules := s.rules()
+	t, ok := s.table.Target(target)
+	if !ok || rules == nil {
+		return 0
+	}
+	service, ok := rules.Services[t.Service]
+	if !ok {
+		return 0
+	}
+	return service.ColdCapacity
+}
+
+// stewardHeld returns the steward as this VM knows it: by its own lease or by what peers told, the newer term.
+func (s *Server) stewardHeld() (string, uint64) {
+	own := s.lease.Current()
+	s.stewardMu.Lock()
+	defer s.stewardMu.Unlock()
+	if own.Term >= s.stewardSeen.Term {
+		return own.Holder, own.Term
+	}
+	return s.stewardSeen.Holder, s.stewardSeen.Term
+}
+
+func (s *Server) stewardName() string {
+	name, _ := s.stewardHeld()
+	return name
+}
+
+func (s *Server) noteSteward(holder string, term uint64) {
+	s.stewardMu.Lock()
+	defer s.stewardMu.Unlock()
+	if holder != "" && term > s.stewardSeen.Term {
+		s.stewardSeen = radishlease.Held{Holder: holder, Term: term}
+	}
+}
+
+func (s *Server) buildClaims() {
+	s.claimWriter = &radishclaim.BatchWriter{Platform: s.platform, Interval: s.Settings.Claim.BatchInterval}
+	s.ledger = &radishclaim.Ledger{
+		Platform: s.platform, VM: s.Settings.VM.Name, Window: s.Settings.Claim.Window, Log: s.Log.Named("claim"),
+		Writer: &radishclaim.HomeWriter{Local: s.claimWriter, Home: s.claimHome, Send: s.sendClaims},
+	}
+}
+
+func (s *Server) claimHome(object string) string {
+	owner := s.roster.Owner("claim-home/" + object)
+	if owner == s.Settings.VM.Name {
+		return ""
+	}
+	return owner
+}
+
+func (s *Server) buildEntry() {
+	picker, _ := radish.Pickers.Lookup(s.Settings.Routing.Picker)
+	dispatcher := &radishtarget.Dispatcher{
+		Table: s.table, Client: s.targets, Picker: picker(), Permits: permitSource{server: s}, Metrics: s.metrics,
+	}
+	s.admission = &radishentry.Admission{
+		MaxInFlight: s.Settings.Caller.MaxInFlight,
+		EntryVMs:    func() int { return len(s.roster.EntryVMs()) + 1 },
+	}
+	s.entry = &radishentry.Entry{
+		Runner:    &radishpipeline.Runner{Dispatcher: dispatcher, Claims: s.ledger, Costs: &s.costs},
+		Admission: s.admission, Metrics: s.metrics, Burn: &s.burn, Rules: s.rules, IsReady: s.isReady,
+		MaxBodyBytes: s.Settings.Caller.MaxBodyBytes,
+	}
+}
+
+func (s *Server) addGauges() error {
+	gauges := []struct {
+		name, description string
+		read              func() float64
+	}{
+		{"radishramp_config_generation", "Generation of the configuration in force.", func() float64 { return float64(s.holder.Generation()) }},
+		{"radishramp_peers_linked", "Peers with an open link.", func() float64 { return float64(len(s.node.Linked())) }},
+		{"radishramp_peer_bytes_sent", "Bytes sent over the peer links.", func() float64 { sent, _ := s.node.Traffic(); return float64(sent) }},
+		{"radishramp_peer_bytes_received", "Bytes received over the peer links.", func() float64 { _, received := s.node.Traffic(); return float64(received) }},
+		{"radishramp_in_flight", "Requests in flight.", func() float64 { return float64(s.admission.InFlight()) }},
+		{"radishramp_is_steward", "1 while this VM holds the steward's lease.", func() float64 { return boolGauge(s.lease.IsHeld()) }},
+		{"radishramp_claim_updates", "Updates of claim objects.", func() float64 { updates, _ := s.claimWriter.Stats(); return float64(updates) }},
+		{"radishramp_claim_ops", "Claims and outcomes carried by the updates.", func() float64 { _, ops := s.claimWriter.Stats(); return float64(ops) }},
+	}
+	for _, g := range gauges {
+		if err := s.metrics.Gauge(g.name, g.description, g.read); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/radishserve/peer_handler.go
@@ -0,0 +1,114 @@
+package radishserve
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"radishramp.example/radishramp/internal/radishtarget"
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishclaim"
+	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
+)
+
+// Handle implements radishpeer.Handler.
+func (s *Server) Handle(ctx context.Context, req *radishpeerpb.Request) (*radishpeerpb.Response, error) {
+	switch body := req.GetBody().(type) {
+	case *radishpeerpb.Request_Heartbeat:
+		s.takeHeartbeat(body.Heartbeat)
+		return &radishpeerpb.Response{}, nil
+	case *radishpeerpb.Request_Config:
+		raw, err := s.holder.EncodeFor(body.Config.GetAboveGeneration())
+		return &radishpeerpb.Response{Body: &radishpeerpb.Response_Config{Config: &radishpeerpb.ConfigReply{Snapshot: raw}}}, err
+	case *radishpeerpb.Request_Permit:
+		return s.grantPermit(body.Permit), nil
+	case *radishpeerpb.Request_Release:
+		s.steward.Release(body.Release.GetTarget(), body.Release.GetId(), body.Release.GetTerm())
+		return &radishpeerpb.Response{}, nil
+	case *radishpeerpb.Request_Claim:
+		return s.writeClaims(ctx, body.Claim)
+	default:
+		return nil, fmt.Errorf("unknown request of %s", req.GetFrom())
+	}
+}
+
+func (s *Server) takeHeartbeat(hb *radishpeerpb.Heartbeat) {
+	now := time.Now()
+	s.roster.Beat(hb.GetVm(), hb.GetDataCentre(), hb.GetLeaving())
+	if hb.GetDataCentre() == s.Settings.VM.DataCentre {
+		s.noteSteward(hb.GetSteward(), hb.GetStewardTerm())
+	}
+	for _, n := range hb.GetNews() {
+		s.table.Observe(radishtarget.News{
+			Target: n.GetTarget(), State: radish.TargetState(n.GetState()), InFlight: int(n.GetInFlight()),
+			Seen: now.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond), Teller: hb.GetVm(),
+		})
+	}
+	s.table.Vouch(hb.GetVm(), now)
+	if s.drains.Merge(hb.GetDrains()) {
+		s.updateTargets()
+		s.heartbeats.sendSoon()
+	}
+	if hb.GetConfigGeneration() > s.holder.Generation() {
+		s.pullConfig(hb.GetVm())
+	}
+}
+
+// pullConfig asks the peer for a newer configuration, in the background and once at a time.
+func (s *Server) pullConfig(peer string) {
+	if !s.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.pulling.Store(false)
+		res, err := s.node.Call(s.ctx, peer, &radishpeerpb.Request{Body: &radishpeerpb.Request_Config{
+			Config: &radishpeerpb.ConfigRequest{AboveGeneration: s.holder.Generation()},
+		}})
+		if err != nil || len(res.GetConfig().GetSnapshot()) == 0 {
+			return
+		}
+		if changed, err := s.holder.OfferEncoded(res.GetConfig().GetSnapshot()); err != nil {
+			s.Log.Warn("configuration of a peer refused", "peer", peer, "error", err)
+		} else if changed {
+			s.Log.Info("configuration in force", "generation", s.holder.Generation(), "from", peer)
+		}
+	}()
+}
+
+func (s *Server) grantPermit(req *radishpeerpb.PermitRequest) *radishpeerpb.Response {
+	permit, err := s.steward.Acquire(req.GetTarget(), time.Duration(req.GetTtlMs())*time.Millisecond)
+	reply := &radishpeerpb.PermitReply{Granted: err == nil, Id: permit.ID, Term: permit.Term}
+	return &radishpeerpb.Response{Body: &radishpeerpb.Response_Permit{Permit: reply}}
+}
+
+func (s *Server) writeClaims(ctx context.Context, req *radishpeerpb.ClaimRequest) (*radishpeerpb.Response, error) {
+	var ops []radishclaim.Op
+	if err := json.Unmarshal(req.GetChanges(), &ops); err != nil {
+		return nil, err
+	}
+	records, err := s.claimWriter.Write(ctx, req.GetObject(), ops)
+	if err != nil {
+		return nil, err
+	}
+	results, err := json.Marshal(records)
+	return &radishpeerpb.Response{Body: &radishpeerpb.Response_Claim{Claim: &radishpeerpb.ClaimReply{Results: results}}}, err
+}
+
+// sendClaims passes ops to the VM that batches for their object.
+func (s *Server) sendClaims(ctx context.Context, vm, object string, ops []radishclaim.Op) ([]radishclaim.Record, error) {
+	changes, err := json.Marshal(ops)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimForwardTimeout)
+	defer cancel()
+	res, err := s.node.Call(ctx, vm, &radishpeerpb.Request{Body: &radishpeerpb.Request_Claim{
+		Claim: &radishpeerpb.ClaimRequest{Object: object, Changes: changes},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	var records []radishclaim.Record
+	return records, json.Unmarshal(res.GetClaim().GetResults(), &records)
+}
--- /dev/null
+++ b/internal/radishsetting/setting.go
@@ -0,0 +1,104 @@
+package radishsetting
+
+import "time"
+
+// Settings are all settings of an entry VM.
+type Settings struct {
+	VM       VM       `setting:"vm"`
+	Caller   Caller   `setting:"caller"`
+	Operator Operator `setting:"operator"`
+	Peer     Peer     `setting:"peer"`
+	Platform Platform `setting:"platform"`
+	Routing  Routing  `setting:"routing"`
+	Claim    Claim    `setting:"claim"`
+	Permit   Permit   `setting:"permit"`
+	Shutdown Shutdown `setting:"shutdown"`
+	Log      Log      `setting:"log"`
+}
+
+// VM names this VM and where it stands.
+type VM struct {
+	Name       string `setting:"name" validate:"required,max=64"`
+	DataCentre string `setting:"data_centre" validate:"required,max=64"`
+}
+
+// Caller is the port that callers reach through the balancer.
+type Caller struct {
+	Listen       string        `setting:"listen" validate:"hostname_port"`
+	MaxBodyBytes int64         `setting:"max_body_bytes" validate:"min=1024,max=67108864"`
+	ReadTimeout  time.Duration `setting:"read_timeout" validate:"min=100ms,max=60s"`
+	WriteTimeout time.Duration `setting:"write_timeout" validate:"min=1s,max=120s"`
+	MaxInFlight  int           `setting:"max_in_flight" validate:"min=1,max=100000"`
+}
+
+// Operator is the port for health, metrics and status.
+type Operator struct {
+	Listen string `setting:"listen" validate:"hostname_port"`
+}
+
+// Peer is the port for links from other entry VMs.
+type Peer struct {
+	Listen            string        `setting:"listen" validate:"hostname_port"`
+	HeartbeatInterval time.Duration `setting:"heartbeat_interval" validate:"min=100ms,max=10s"`
+	// Seeds are peer addresses to try while the platform's list cannot be had.
+	Seeds []string `setting:"seeds" validate:"dive,hostname_port"`
+}
+
+// Platform is where and how fast the platform's object API is called.
+type Platform struct {
+	URL          string        `setting:"url" validate:"http_url"`
+	CallsPerSec  float64       `setting:"calls_per_s" validate:"gt=0,max=1000"`
+	Timeout      time.Duration `setting:"timeout" validate:"min=50ms,max=30s"`
+	ListInterval time.Duration `setting:"list_interval" validate:"min=100ms,max=60s"`
+}
+
+// Routing chooses targets.
+type Routing struct {
+	Picker         string        `setting:"picker" validate:"picker"`
+	ReportInterval time.Duration `setting:"report_interval" validate:"min=50ms,max=10s"`
+	// WarmBeliefTTL is how long a target counts as warm after its last word that it is.
+	WarmBeliefTTL time.Duration `setting:"warm_belief_ttl" validate:"min=100ms,max=60s"`
+}
+
+// Claim batches the records of non-idempotent work.
+type Claim struct {
+	BatchInterval time.Duration `setting:"batch_interval" validate:"min=1ms,max=1s"`
+	// Window is how long an idempotency key is remembered.
+	Window time.Duration `setting:"window" validate:"min=1m,max=168h"`
+}
+
+// Permit governs the lease under which one VM of a data centre counts the work of cold targets.
+type Permit struct {
+	Lease time.Duration `setting:"lease" validate:"min=500ms,max=60s"`
+	// MaxPermit is the longest time that one attempt at a cold target may take.
+	MaxPermit time.Duration `setting:"max_permit" validate:"min=100ms,max=60s"`
+}
+
+// Shutdown is how a VM leaves.
+type Shutdown struct {
+	// BalancerWait is how long the VM goes on accepting after it reports that it is not ready.
+	BalancerWait time.Duration `setting:"balancer_wait" validate:"min=0,max=60s"`
+	// Grace is how long accepted requests may take to finish.
+	Grace time.Duration `setting:"grace" validate:"min=1s,max=300s"`
+}
+
+// Log sets the level of the JSON lines on standard error.
+type Log struct {
+	Level string `setting:"level" validate:"oneof=trace debug info warn error"`
+}
+
+// Default returns the embedded defaults, which suit one VM on the loopback address.
+func Default() *Settings {
+	return &Settings{
+		VM:       VM{Name: "entry-1", DataCentre: "local"},
+		Caller:   Caller{Listen: "127.0.0.1:8080", MaxBodyBytes: 1 << 20, ReadTimeout: 10 * time.Second, WriteTimeout: 40 * time.Second, MaxInFlight: 2000},
+		Operator: Operator{Listen: "127.0.0.1:8081"},
+		Peer:     Peer{Listen: "127.0.0.1:8082", HeartbeatInterval: time.Second},
+		Platform: Platform{URL: "http://127.0.0.1:7000", CallsPerSec: 50, Timeout: 2 * time.Second, ListInterval: 2 * time.Second},
+		Routing:  Routing{Picker: "power_of_two", ReportInterval: time.Second, WarmBeliefTTL: 3 * time.Second},
+		Claim:    Claim{BatchInterval: 40 * time.Millisecond, Window: 24 * time.Hour},
+		Permit:   Permit{Lease: 4 * time.Second, MaxPermit: 6 * time.Second},
+		Shutdown: Shutdown{BalancerWait: 2 * time.Second, Grace: 35 * time.Second},
+		Log:      Log{Level: "info"},
+	}
+}
--- /dev/null
+++ b/pkg/radishpeer/node.go
@@ -0,0 +1,317 @@
+package radishpeer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
+)
+
+// Times and sizes of the links.
+const (
+	// DefaultCallTimeout bounds a call whose context has no deadline.
+	DefaultCallTimeout = 2 * time.Second
+	// maxMessageBytes bounds one message: a snapshot of all rules is the largest.
+	maxMessageBytes = 16 << 20
+	redialInitial   = 100 * time.Millisecond
+	redialLimit     = 2 * time.Second
+)
+
+// Peer is another entry VM.
+type Peer struct {
+	Name       string
+	Address    string
+	DataCentre string
+}
+
+// Handler answers calls of peers.
+type Handler interface {
+	// Handle returns the response to a request of the peer named in it; an error reaches the caller as text.
+	Handle(ctx context.Context, req *radishpeerpb.Request) (*radishpeerpb.Response, error)
+}
+
+// Node holds the links of one VM; set the exported fields before Run.
+type Node struct {
+	// Name is the VM's own name.
+	Name string
+	// Listener accepts links from peers.
+	Listener net.Listener
+	// Dial opens a connection; a TCP dialer when nil.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Handler answers the calls of peers.
+	Handler Handler
+	Log     hclog.Logger
+
+	mu    sync.Mutex
+	wg    sync.WaitGroup
+	links map[string]*link
+	dials map[string]context.CancelFunc
+	peers []Peer
+	root  context.Context
+
+	bytesSent     atomic.Int64
+	bytesReceived atomic.Int64
+}
+
+// link is an open session with a peer.
+type link struct {
+	session *yamux.Session
+}
+
+// Traffic returns the bytes sent to and received from all peers so far.
+func (n *Node) Traffic() (sent, received int64) {
+	return n.bytesSent.Load(), n.bytesReceived.Load()
+}
+
+// Run accepts links until ctx ends, then closes all of them.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.mu.Lock()
+	n.root = ctx
+	n.links = make(map[string]*link)
+	n.dials = make(map[string]context.CancelFunc)
+	n.dialPeers()
+	n.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { _ = n.Listener.Close() })
+	defer stop()
+	err := n.acceptLinks(ctx)
+	cancel()
+	n.closeLinks()
+	n.wg.Wait()
+	return err
+}
+
+func (n *Node) acceptLinks(ctx context.Context) error {
+	for {
+		conn, err := n.Listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		n.wg.Go(func() { n.serveConn(ctx, conn, "") })
+	}
+}
+
+func (n *Node) closeLinks() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.root = nil
+	for _, l := range n.links {
+		_ = l.session.Close()
+	}
+}
+
+// SetPeers makes the node keep links to these peers, one goroutine a peer; links to others are dropped.
+func (n *Node) SetPeers(peers []Peer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers = peers
+	if n.root != nil {
+		n.dialPeers()
+	}
+}
+
+func (n *Node) dialPeers() {
+	wanted := make(map[string]bool, len(n.peers))
+	for _, p := range n.peers {
+		key := p.Name + "@" + p.Address
+		wanted[key] = true
+		if n.dials[key] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(n.root)
+		n.dials[key] = cancel
+		n.wg.Go(func() { n.keepLink(ctx, p) })
+	}
+	for key, cancel := range n.dials {
+		if !wanted[key] {
+			cancel()
+			delete(n.dials, key)
+		}
+	}
+}
+
+func (n *Node) keepLink(ctx context.Context, p Peer) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = redialInitial
+	wait.MaxInterval = redialLimit
+	for ctx.Err() == nil {
+		conn, err := n.dial(ctx, p.Address)
+		if err == nil {
+			wait.Reset()
+			n.serveConn(ctx, conn, p.Name)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+}
+
+func (n *Node) dial(ctx context.Context, address string) (net.Conn, error) {
+	if n.Dial != nil {
+		return n.Dial(ctx, address)
+	}
+	dialer := net.Dialer{Timeout: DefaultCallTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// serveConn runs one session until it breaks; name is the dialled peer, empty for an accepted connection.
+func (n *Node) serveConn(ctx context.Context, conn net.Conn, name string) {
+	cfg := yamux.DefaultConfig()
+	// Heartbeats find dead links, so yamux's own pings would only add traffic.
+	cfg.EnableKeepAlive = false
+	cfg.LogOutput = io.Discard
+	counted := &countedConn{Conn: conn, node: n}
+	var session *yamux.Session
+	var err error
+	if name == "" {
+		session, err = yamux.Server(counted, cfg)
+	} else {
+		session, err = yamux.Client(counted, cfg)
+	}
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	defer session.Close()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	if name != "" {
+		n.addLink(name, session)
+		// The first call tells the peer who dialled, so that it can call back over the same session.
+		_, _ = n.callSession(ctx, session, &radishpeerpb.Request{From: n.Name})
+	}
+	n.serveStreams(ctx, session)
+	n.dropLink(session)
+}
+
+func (n *Node) addLink(name string, session *yamux.Session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.links == nil {
+		return
+	}
+	n.links[name] = &link{session: session}
+}
+
+func (n *Node) dropLink(session *yamux.Session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, l := range n.links {
+		if l.session == session {
+			delete(n.links, name)
+		}
+	}
+}
+
+func (n *Node) serveStreams(ctx context.Context, session *yamux.Session) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		calls.Go(func() { n.serveCall(ctx, session, stream) })
+	}
+}
+
+func (n *Node) serveCall(ctx context.Context, session *yamux.Session, stream *yamux.Stream) {
+	defer stream.Close()
+	_ = stream.SetDeadline(time.Now().Add(DefaultCallTimeout))
+	var req radishpeerpb.Request
+	if err := readMessage(stream, &req); err != nil {
+		return
+	}
+	if req.GetBody() == nil {
+		n.addLink(req.GetFrom(), session)
+		_, _ = protodelim.MarshalTo(stream, &radishpeerpb.Response{})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, DefaultCallTimeout)
+	defer cancel()
+	res, err := n.Handler.Handle(ctx, &req)
+	if err != nil {
+		res = &radishpeerpb.Response{Error: err.Error()}
+	}
+	_, _ = protodelim.MarshalTo(stream, res)
+}
+
+// Linked returns the names of the peers that can be called now.
+func (n *Node) Linked() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	names := make([]string, 0, len(n.links))
+	for name := range n.links {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Call sends the request to the named peer; ErrUnavailable when there is no link or it breaks.
+func (n *Node) Call(ctx context.Context, name string, req *radishpeerpb.Request) (*radishpeerpb.Response, error) {
+	n.mu.Lock()
+	l := n.links[name]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, trace.Wrap(radish.ErrUnavailable, "no link to %s", name)
+	}
+	req.From = n.Name
+	res, err := n.callSession(ctx, l.session, req)
+	if err != nil {
+		return nil, trace.Wrap(radish.ErrUnavailable, "call to %s: %v", name, err)
+	}
+	if res.GetError() != "" {
+		return nil, errors.New(res.GetError())
+	}
+	return res, nil
+}
+
+func (n *Node) callSession(ctx context.Context, session *yamux.Session, req *radishpeerpb.Request) (*radishpeerpb.Response, error) {
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(DefaultCallTimeout)
+	}
+	_ = stream.SetDeadline(deadline)
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+	defer stop()
+	if _, err := protodelim.MarshalTo(stream, req); err != nil {
+		return nil, err
+	}
+	var res radishpeerpb.Response
+	if err := readMessage(stream, &res); err != nil {
+		return nil, err
+	}
+	return &res, nil
+}
+
+// CloseLink ends the session with the peer, as when its heartbeats have stopped.
+func (n *Node) CloseLink(name string) {
+	n.mu.Lock()
+	l := n.links[name]
+	n.mu.Unlock()
+	if l != nil {
+		_ = l.session.Close()
+	}
+}
--- /dev/null
+++ b/pkg/radishrule/doc.go
@@ -0,0 +1,3 @@
+// Package radishrule reads the operator's rules file: plain text, one rule a line, each line with a comment
+// that names who asked for it. Rule kinds register themselves in Kinds.
+package radishrule
--- /dev/null
+++ b/pkg/radishrule/kind.go
@@ -0,0 +1,166 @@
+package radishrule
+
+import (
+	"fmt"
+	"strings"
+
+	"radishramp.example/radishramp/pkg/radish"
+)
+
+// Kind is a kind of rule.
+type Kind struct {
+	// New returns a pointer with the defaults, to decode the line's fields into.
+	New func() any
+	// Finish completes a decoded rule with its line; a finished rule is shared between sets and never changed.
+	Finish func(rule any, line Line) error
+	// Add puts a finished rule into the set and returns an error for a duplicate.
+	Add func(s *RuleSet, rule any) error
+	// Check tests the rule's references once all lines are read; nil when it has none.
+	Check func(s *RuleSet, rule any) error
+}
+
+// Kinds holds the registered rule kinds.
+var Kinds radish.Registry[Kind]
+
+func init() {
+	Kinds.Register("pipeline", Kind{
+		New:    func() any { return &Pipeline{} },
+		Finish: finishPipeline,
+		Add: func(s *RuleSet, rule any) error {
+			r := rule.(*Pipeline)
+			return addUnique(s.Pipelines, r.Name, r, "name")
+		},
+		Check: checkPipeline,
+	})
+	Kinds.Register("service", Kind{
+		New:    func() any { return &Service{Idempotent: true, ColdCapacity: 1, MaxInFlight: 64} },
+		Finish: func(rule any, line Line) error { rule.(*Service).Line = line; return nil },
+		Add: func(s *RuleSet, rule any) error {
+			r := rule.(*Service)
+			return addUnique(s.Services, r.Name, r, "name")
+		},
+	})
+	Kinds.Register("team", Kind{
+		New:    func() any { return &Team{Share: 1} },
+		Finish: func(rule any, line Line) error { rule.(*Team).Line = line; return nil },
+		Add:    addTeam,
+	})
+	Kinds.Register("limit", Kind{
+		New:    func() any { return &Limit{} },
+		Finish: func(rule any, line Line) error { rule.(*Limit).Line = line; return nil },
+		Add: func(s *RuleSet, rule any) error {
+			r := rule.(*Limit)
+			return addUnique(s.Limits, LimitKey{r.Team, r.Pipeline}, r, "team and pipeline")
+		},
+		Check: func(s *RuleSet, rule any) error {
+			r := rule.(*Limit)
+			return checkTeamAndPipeline(s, r.Team, r.Pipeline)
+		},
+	})
+	Kinds.Register("priority", Kind{
+		New:    func() any { return &Priority{} },
+		Finish: func(rule any, line Line) error { rule.(*Priority).Line = line; return nil },
+		Add: func(s *RuleSet, rule any) error {
+			r := rule.(*Priority)
+			return addUnique(s.Priorities, LimitKey{r.Team, r.Pipeline}, r, "team and pipeline")
+		},
+		Check: func(s *RuleSet, rule any) error {
+			r := rule.(*Priority)
+			return checkTeamAndPipeline(s, r.Team, r.Pipeline)
+		},
+	})
+	Kinds.Register("retry", Kind{
+		New:    func() any { return &Retry{} },
+		Finish: func(rule any, line Line) error { rule.(*Retry).Line = line; return nil },
+		Add: func(s *RuleSet, rule any) error {
+			r := rule.(*Retry)
+			return addUnique(s.Retries, r.Service, r, "service")
+		},
+		Check: func(s *RuleSet, rule any) error {
+			return checkReference(s.Services, "service", rule.(*Retry).Service)
+		},
+	})
+	Kinds.Register("drain", Kind{
+		New:    func() any { return &Drain{} },
+		Finish: func(rule any, line Line) error { rule.(*Drain).Line = line; return nil },
+		Add:    addDrain,
+	})
+	Kinds.Register("objective", Kind{
+		New:    func() any { return &Objective{} },
+		Finish: func(rule any, line Line) error { rule.(*Objective).Line = line; return nil },
+		Add: func(s *RuleSet, rule any) error {
+			r := rule.(*Objective)
+			return addUnique(s.Objectives, r.Pipeline, r, "pipeline")
+		},
+		Check: func(s *RuleSet, rule any) error {
+			return checkReference(s.Pipelines, "pipeline", rule.(*Objective).Pipeline)
+		},
+	})
+}
+
+func addUnique[K comparable, V any](m map[K]V, key K, value V, field string) error {
+	if _, taken := m[key]; taken {
+		return fmt.Errorf("field %s: duplicate of an earlier line", field)
+	}
+	m[key] = value
+	return nil
+}
+
+func checkReference[V any](m map[string]V, field, name string) error {
+	if _, ok := m[name]; ok || name == "" {
+		return nil
+	}
+	return fmt.Errorf("field %s: %q is not defined by any line", field, name)
+}
+
+func checkTeamAndPipeline(s *RuleSet, team, pipeline string) error {
+	if err := checkReference(s.Teams, "team", team); err != nil {
+		return err
+	}
+	return checkReference(s.Pipelines, "pipeline", pipeline)
+}
+
+func finishPipeline(rule any, line Line) error {
+	r := rule.(*Pipeline)
+	r.Line = line
+	for _, text := range r.Stages {
+		kind, service, found := strings.Cut(text, "/")
+		if !found || service == "" {
+			return fmt.Errorf("field stages: %q is not of the form kind/service", text)
+		}
+		if _, known := radish.StageKinds.Lookup(kind); !known {
+			return fmt.Errorf("field stages: unknown stage kind %q (allowed: %s)", kind, strings.Join(radish.StageKinds.Names(), ", "))
+		}
+		r.Chain = append(r.Chain, Stage{Kind: kind, Service: service})
+	}
+	return nil
+}
+
+func checkPipeline(s *RuleSet, rule any) error {
+	for _, stage := range rule.(*Pipeline).Chain {
+		if err := checkReference(s.Services, "stages", stage.Service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func addTeam(s *RuleSet, rule any) error {
+	r := rule.(*Team)
+	if err := addUnique(s.Tokens, r.TokenSHA256, r, "token_sha256"); err != nil {
+		return err
+	}
+	return addUnique(s.Teams, r.Name, r, "name")
+}
+
+func addDrain(s *RuleSet, rule any) error {
+	r := rule.(*Drain)
+	if r.DataCentre != "" && s.IsDataCentreDrained(r.DataCentre) {
+		return fmt.Errorf("field data_centre: duplicate of an earlier line")
+	}
+	if r.Target != "" && s.IsTargetDrained(r.Target) {
+		return fmt.Errorf("field target: duplicate of an earlier line")
+	}
+	s.Drains = append(s.Drains, r)
+	return nil
+}
--- /dev/null
+++ b/pkg/radishrule/rule_set.go
@@ -0,0 +1,204 @@
+package radishrule
+
+import (
+	"strings"
+	"time"
+)
+
+// Line is one rule as the operator wrote it.
+type Line struct {
+	// Number counts from 1 in the file or listing that the line was read from; it is not stored.
+	Number  int    `json:"-"`
+	Text    string `json:"text"`
+	Comment string `json:"comment"`
+	// Since is the time from which the unchanged line has been accepted; zero before it is applied.
+	Since time.Time `json:"since"`
+}
+
+// Kind returns the first word of the line.
+func (l Line) Kind() string {
+	kind, _, _ := strings.Cut(strings.TrimSpace(l.Text), " ")
+	return kind
+}
+
+// Stage is one stage of a pipeline.
+type Stage struct {
+	Kind    string
+	Service string
+}
+
+// Pipeline is a chain of stages under one deadline.
+type Pipeline struct {
+	Name     string        `rule:"name" validate:"required,max=64"`
+	Stages   []string      `rule:"stages" validate:"required,min=1,max=6"`
+	Deadline time.Duration `rule:"deadline" validate:"min=10ms,max=30s"`
+	Chain    []Stage       `rule:"-"`
+	Line     Line          `rule:"-"`
+}
+
+// Service is a group of targets that do the same work.
+type Service struct {
+	Name         string `rule:"name" validate:"required,max=64"`
+	Idempotent   bool   `rule:"idempotent"`
+	ColdCapacity int    `rule:"cold_capacity" validate:"min=1,max=1000"`
+	MaxInFlight  int    `rule:"max_in_flight" validate:"min=1,max=100000"`
+	// ChecksFencing tells whether the targets refuse orders with an old fencing number.
+	ChecksFencing bool `rule:"checks_fencing"`
+	Line          Line `rule:"-"`
+}
+
+// Team is a customer, known by the SHA-256 of its bearer token.
+type Team struct {
+	Name        string `rule:"name" validate:"required,max=64"`
+	TokenSHA256 string `rule:"token_sha256" validate:"len=64,hexadecimal,lowercase"`
+	Share       int    `rule:"share" validate:"min=1,max=1000"`
+	Line        Line   `rule:"-"`
+}
+
+// Limit bounds the request rate of a team, on one pipeline or, when Pipeline is empty, on all together.
+type Limit struct {
+	Team           string  `rule:"team" validate:"required"`
+	Pipeline       string  `rule:"pipeline"`
+	RequestsPerSec float64 `rule:"requests_per_s" validate:"gt=0,max=100000"`
+	Burst          int     `rule:"burst" validate:"min=0,max=100000"`
+	Line           Line    `rule:"-"`
+}
+
+// Priority orders requests under load; level 1 is the most urgent, 9 the least.
+type Priority struct {
+	Team     string `rule:"team"`
+	Pipeline string `rule:"pipeline" validate:"required"`
+	Level    int    `rule:"level" validate:"min=1,max=9"`
+	Line     Line   `rule:"-"`
+}
+
+// Retry bounds second attempts of a service as a share of its first attempts.
+type Retry struct {
+	Service string  `rule:"service" validate:"required"`
+	Budget  float64 `rule:"budget" validate:"min=0,max=0.2"`
+	Line    Line    `rule:"-"`
+}
+
+// Drain takes a data centre or one target out of service.
+type Drain struct {
+	DataCentre string `rule:"data_centre" validate:"required_without=Target,excluded_with=Target"`
+	Target     string `rule:"target"`
+	Line       Line   `rule:"-"`
+}
+
+// Objective is the service-level objective of a pipeline as a share of requests answered whole in time.
+type Objective struct {
+	Pipeline   string  `rule:"pipeline" validate:"required"`
+	Attainment float64 `rule:"attainment" validate:"gt=0,lt=1"`
+	Line       Line    `rule:"-"`
+}
+
+// RuleSet is a checked set of rules; it is never changed after Parse returns it.
+type RuleSet struct {
+	Lines      []Line
+	Pipelines  map[string]*Pipeline
+	Services   map[string]*Service
+	Teams      map[string]*Team
+	Tokens     map[string]*Team
+	Limits     map[LimitKey]*Limit
+	Priorities map[LimitKey]*Priority
+	Retries    map[string]*Retry
+	Objectives map[string]*Objective
+	Drains     []*Drain
+}
+
+// LimitKey names a team and a pipeline; an empty field stands for all of them.
+type LimitKey struct {
+	Team     string
+	Pipeline string
+}
+
+func newRuleSet() *RuleSet {
+	return &RuleSet{
+		Pipelines:  make(map[string]*Pipeline),
+		Services:   make(map[string]*Service),
+		Teams:      make(map[string]*Team),
+		Tokens:     make(map[string]*Team),
+		Limits:     make(map[LimitKey]*Limit),
+		Priorities: make(map[LimitKey]*Priority),
+		Retries:    make(map[string]*Retry),
+		Objectives: make(map[string]*Objective),
+	}
+}
+
+// IsIdempotent tells whether every stage of the pipeline may be repeated.
+func (s *RuleSet) IsIdempotent(p *Pipeline) bool {
+	for _, stage := range p.Chain {
+		if !s.Services[stage.Service].Idempotent {
+			return false
+		}
+	}
+	return true
+}
+
+// DefaultPriority is the level of a request that no priority rule names.
+const DefaultPriority = 5
+
+// PriorityOf returns the level of the team's requests to the pipeline and the line that set it, if any.
+func (s *RuleSet) PriorityOf(team, pipeline string) (int, *Line) {
+	for _, key := range []LimitKey{{team, pipeline}, {"", pipeline}} {
+		if p, ok := s.Priorities[key]; ok {
+			return p.Level, &p.Line
+		}
+	}
+	return DefaultPriority, nil
+}
+
+// IsDataCentreDrained tells whether a drain rule names the data centre.
+func (s *RuleSet) IsDataCentreDrained(dc string) bool {
+	for _, d := range s.Drains {
+		if d.DataCentre == dc && dc != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// IsTargetDrained tells whether a drain rule names the target.
+func (s *RuleSet) IsTargetDrained(name string) bool {
+	for _, d := range s.Drains {
+		if d.Target == name && name != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// Explain returns the lines that apply to the team's requests to the pipeline, in the order they are consulted.
+func (s *RuleSet) Explain(team, pipeline string) []Line {
+	var lines []Line
+	if t, ok := s.Teams[team]; ok {
+		lines = append(lines, t.Line)
+	}
+	for _, key := range []LimitKey{{team, pipeline}, {team, ""}} {
+		if l, ok := s.Limits[key]; ok {
+			lines = append(lines, l.Line)
+		}
+	}
+	if _, line := s.PriorityOf(team, pipeline); line != nil {
+		lines = append(lines, *line)
+	}
+	if o, ok := s.Objectives[pipeline]; ok {
+		lines = append(lines, o.Line)
+	}
+	p, ok := s.Pipelines[pipeline]
+	if !ok {
+		return lines
+	}
+	lines = append(lines, p.Line)
+	for _, stage := range p.Chain {
+		lines = append(lines, s.Services[stage.Service].Line)
+		if r, ok := s.Retries[stage.Service]; ok {
+			lines = append(lines, r.Line)
+		}
+	}
+	for _, d := range s.Drains {
+		lines = append(lines, d.Line)
+	}
+	return lines
+}
