--- a/internal/radishserve/build.go
+++ b/internal/radishserve/build.go
@@ -18,8 +18,11 @@
 	"radishramp.example/radishramp/pkg/radishroster"
 )
 
-// build makes the parts and connects them; nothing runs yet.
-func (s *Server) build() error {
+// Build makes the parts and connects them; nothing runs yet, and a second call changes nothing.
+func (s *Server) Build() error {
+	if s.entry != nil {
+		return nil
+	}
 	var err error
 	if s.metrics, err = radishmetric.New(); err != nil {
 		return err
@@ -57,7 +60,7 @@
 		s.updateTargets()
 		s.heartbeats.sendSoon()
 	}
-	s.node = &radishpeer.Node{Name: vm.Name, Handler: s, Log: s.Log.Named("peer")}
+	s.node = &radishpeer.Node{Name: vm.Name, Handler: s, Dial: s.Dial, Log: s.Log.Named("peer")}
 }
 
 // tellNews passes on at once what this VM saw itself and what must not wait: a target that turned cold or leaves.
--- /dev/null
+++ b/internal/radishserve/promise_test.go
@@ -0,0 +1,49 @@
+package radishserve
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestClusterServes(t *testing.T) {
+	fault := inBubble(t, func(t *testing.T) string {
+		c := newCluster(t, "bandung", "semarang")
+		defer c.close()
+		time.Sleep(settlingTime)
+		c.load(rand.New(rand.NewPCG(1, 1)), 10*time.Second, 20*time.Millisecond)
+		c.calls.Wait()
+		for _, a := range c.answers {
+			if a.status != 200 {
+				return fmt.Sprintf("without faults a request got %d: %s", a.status, a.body)
+			}
+		}
+		t.Logf("%d answered", c.answered)
+		return c.check()
+	})
+	if fault != "" {
+		t.Fatal(fault)
+	}
+}
+
+func TestDrainedDataCentreGetsNoNewWork(t *testing.T) {
+	fault := inBubble(t, func(t *testing.T) string {
+		c := newCluster(t, "bandung", "semarang")
+		defer c.close()
+		time.Sleep(settlingTime)
+		go c.apply(1, rulesText("drain data_centre=semarang # test\n"))
+		c.load(rand.New(rand.NewPCG(2, 1)), 10*time.Second, 20*time.Millisecond)
+		limit := time.Now().Add(-10*time.Second + drainDeadline)
+		for _, target := range c.targets {
+			if n := target.Begun(limit); strings.Contains(target.Name, "semarang") && n > 0 {
+				return fmt.Sprintf("%s began %d attempts later than %v after the drain", target.Name, n, drainDeadline)
+			}
+		}
+		return c.check()
+	})
+	if fault != "" {
+		t.Fatal(fault)
+	}
+}
--- a/internal/radishserve/server.go
+++ b/internal/radishserve/server.go
@@ -48,6 +48,9 @@
 	Log      hclog.Logger
 	// Platform replaces the client of the platform in tests; nil builds one from the settings.
 	Platform radish.Platform
+	// Listen and Dial replace TCP in tests; nil uses TCP.
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
 	// Targets replaces the client of the targets in tests; nil builds one.
 	Targets radish.TargetClient
 
@@ -79,7 +82,7 @@
 
 // Run serves until ctx ends, then leaves without cutting a request.
 func (s *Server) Run(ctx context.Context) error {
-	if err := s.build(); err != nil {
+	if err := s.Build(); err != nil {
 		return err
 	}
 	listeners, err := s.listen()
@@ -102,13 +105,16 @@
 	group.Add(func() error { return s.waitAndLeave(ctx, background, caller) }, func(error) { stop() })
 	s.Log.Info("serving", "caller", listeners.caller.Addr().String(), "operator", listeners.operator.Addr().String(), "peer", listeners.peer.Addr().String())
 	err = group.Run()
-	s.ledger.Wait()
+	s.claimWriter.Wait()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
+// CallerHandler serves callers in the same process, after Build.
+func (s *Server) CallerHandler() http.Handler { return s.entry.Handler() }
+
 // listeners are the VM's open ports.
 type listeners struct {
 	caller, operator, peer net.Listener
@@ -117,13 +123,17 @@
 func (s *Server) listen() (listeners, error) {
 	var l listeners
 	var err error
+	listen := s.Listen
+	if listen == nil {
+		listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	for _, port := range []struct {
 		address string
 		into    *net.Listener
 	}{
 		{s.Settings.Caller.Listen, &l.caller}, {s.Settings.Operator.Listen, &l.operator}, {s.Settings.Peer.Listen, &l.peer},
 	} {
-		if *port.into, err = net.Listen("tcp", port.address); err != nil {
+		if *port.into, err = listen(port.address); err != nil {
 			return l, trace.ConvertSystemError(err)
 		}
 	}
--- a/pkg/radishclaim/writer.go
+++ b/pkg/radishclaim/writer.go
@@ -39,6 +39,7 @@
 	cache   map[string]radish.Object
 	updates int64
 	written int64
+	working sync.WaitGroup
 }
 
 // waiter is a call of Write that waits for its ops.
@@ -73,7 +74,7 @@
 	queue, running := w.queues[object]
 	w.queues[object] = append(queue, call)
 	if !running {
-		go w.work(object)
+		w.working.Go(func() { w.work(object) })
 	}
 }
 
@@ -223,6 +224,9 @@
 	w.written += int64(ops)
 }
 
+// Wait returns once no update is under way and no op waits.
+func (w *BatchWriter) Wait() { w.working.Wait() }
+
 // Stats returns the updates made so far and the ops that they carried.
 func (w *BatchWriter) Stats() (updates, ops int64) {
 	w.mu.Lock()
