Ask the steward for a permit once a VM, not once a waiting request

Cause: a request that finds only cold targets looks again every 10 ms, and each look asked the steward for a permit. With 150 requests waiting that is some 15,000 calls a second on the peer links.

Ruled out: a longer wait between looks, since it delays requests when a target becomes free.

Change: after a refusal no request of the VM asks for that target for 50 to 150 ms.

--- a/internal/radishstandin/target.go
+++ b/internal/radishstandin/target.go
@@ -53,7 +53,6 @@
 	leaving    bool
 	inFlight   int
 	coldSince  time.Time
-	underCold  int
 	maxCold    int
 	violations int
 	ran        map[string]int
@@ -65,13 +64,12 @@
 	reportAt   time.Time
 }
 
-// TurnCold makes the target cold for d without notice; attempts that it already runs do not count as violations.
+// TurnCold makes the target cold for d without a word.
 func (t *Target) TurnCold(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.coldUntil = time.Now().Add(d)
 	t.coldSince = time.Now()
-	t.underCold = 0
 }
 
 // Begun returns how many attempts began after the time.
@@ -105,7 +103,7 @@
 type TargetStats struct {
 	// Ran counts the runs of each request id.
 	Ran map[string]int `json:"ran"`
-	// MaxCold is the most attempts that began while cold and ran at the same time.
+	// MaxCold is the most attempts in flight when one began while cold.
 	MaxCold int `json:"max_cold"`
 	// Violations counts attempts that began above the cold capacity.
 	Violations int `json:"violations"`
@@ -268,9 +266,9 @@
 }
 
 func (t *Target) countCold() {
-	t.underCold++
-	t.maxCold = max(t.maxCold, t.underCold)
-	if t.ColdCapacity > 0 && t.underCold > t.ColdCapacity && time.Since(t.coldSince) >= t.Notice {
+	t.maxCold = max(t.maxCold, t.inFlight)
+	// What a target still runs from before it turned cold counts against what it bears.
+	if t.ColdCapacity > 0 && t.inFlight > t.ColdCapacity && time.Since(t.coldSince) >= t.Notice {
 		t.violations++
 	}
 }
@@ -279,9 +277,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight--
-	if a.isCold && !a.began.Before(t.coldSince) && t.underCold > 0 {
-		t.underCold--
-	}
 }
 
 func (t *Target) answerHeaders(w http.ResponseWriter, a attempt) {
--- a/internal/radishtarget/dispatcher.go
+++ b/internal/radishtarget/dispatcher.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -23,6 +24,8 @@
 	maxTries = 4
 	// capacityWait is the mean wait before a stage that found no target looks again.
 	capacityWait = 10 * time.Millisecond
+	// refusalTime is the mean time for which a VM does not ask again after a permit was refused.
+	refusalTime = 100 * time.Millisecond
 	// remoteProbes is how many targets of other data centres are asked at a time.
 	remoteProbes = 2
 	// coldShare is the share of attempts offered to a cold target first, which lets it warm up.
@@ -63,6 +66,10 @@
 
 	budget RetryBudget
 	probes singleflight.Group
+
+	mu sync.Mutex
+	// refused holds, by cold target, until when no permit is asked for after a refusal.
+	refused map[string]time.Time
 }
 
 // Do runs the stage until it has a whole answer, may not be repeated or the context's deadline passes. The error is
@@ -149,14 +156,35 @@
 	if ttl <= 0 || c.Target.DataCentre != d.Table.DataCentre {
 		return radish.Target{}, radishpermit.Permit{}, false
 	}
+	if d.isRefused(c.Target.Name) {
+		return radish.Target{}, radishpermit.Permit{}, false
+	}
 	permit, err := d.Permits.Acquire(ctx, c.Target.Name, ttl)
 	d.Metrics.Permit(err == nil)
 	if err != nil {
+		d.noteRefusal(c.Target.Name)
 		return radish.Target{}, radishpermit.Permit{}, false
 	}
 	return c.Target, permit, true
 }
 
+// isRefused tells whether the steward refused a permit for the target just now. All requests of the VM that wait
+// for the target share the answer: else each of them would ask on every look.
+func (d *Dispatcher) isRefused(target string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Now().Before(d.refused[target])
+}
+
+func (d *Dispatcher) noteRefusal(target string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.refused == nil {
+		d.refused = make(map[string]time.Time)
+	}
+	d.refused[target] = time.Now().Add(refusalTime/2 + rand.N(refusalTime))
+}
+
 // defaultTime stands for the time left when a context has no deadline.
 const defaultTime = 5 * time.Second
 
