Let a VM that starts in a platform outage learn rules and VMs from its peers

Cause: TestNewVMLearnsFromPeers failed: bandung-9 had generation 0 in force, want 1. Two reasons, both seen in the trace: the seed addresses were dialled only after a list of VMs had been read, which an outage prevents; and a peer that was dialled by its address alone could not be called by its name.

Ruled out: that the peer refused the request; it never got one.

Change: seeds are dialled at the start, a session takes the name that its first call gives, and a VM without a list asks for the peer's list together with the configuration.

--- /dev/null
+++ b/internal/radishserve/leaving_test.go
@@ -0,0 +1,142 @@
+package radishserve
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"radishramp.example/radishramp/internal/radishstandin"
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
+)
+
+// begunLate returns the first target with the substring in its name that began work after the time.
+func (c *cluster) begunLate(name string, limit time.Time) string {
+	for _, target := range c.targets {
+		if n := target.Begun(limit); strings.Contains(target.Name, name) && n > 0 {
+			return fmt.Sprintf("%s began %d attempts after it should have got no more", target.Name, n)
+		}
+	}
+	return ""
+}
+
+// refusals returns the first answer since the time that was not whole.
+func (c *cluster) refusals(since time.Time) string {
+	for _, a := range c.answers {
+		if a.status != http.StatusOK && a.entered.After(since) {
+			return fmt.Sprintf("a request got %d: %s", a.status, a.body)
+		}
+	}
+	return ""
+}
+
+// TestDrainByEachRoute takes a data centre or a target out by every way that the news can come, and checks that it
+// gets nothing new after five seconds while all requests are still answered.
+func TestDrainByEachRoute(t *testing.T) {
+	for _, route := range []struct {
+		name string
+		take func(c *cluster)
+		out  string
+	}{
+		{"rule for a data centre", func(c *cluster) { c.apply(1, rulesText("drain data_centre=semarang # test\n")) }, "semarang"},
+		{"rule for a target", func(c *cluster) { c.apply(1, rulesText("drain target=llm-semarang-0 # test\n")) }, "llm-semarang-0"},
+		{"order to one VM in a platform outage", func(c *cluster) {
+			c.platform.SetFaults(radishstandin.Faults{Outage: true})
+			c.vms[0].server.mergeDrain(&radishpeerpb.LocalDrain{Id: "1", DataCentre: "semarang", By: "tester", Comment: "test"})
+		}, "semarang"},
+		{"order to one VM of a cut data centre", func(c *cluster) {
+			c.cutDataCentre("semarang")
+			c.vms[3].server.mergeDrain(&radishpeerpb.LocalDrain{Id: "1", Target: "llm-semarang-0", By: "tester", Comment: "test"})
+		}, "llm-semarang-0"},
+		{"platform's list says leaving", func(c *cluster) {
+			c.platform.SetVM(radish.VM{Name: "llm-semarang-0", Address: "llm-semarang-0", DataCentre: "semarang", Service: "llm", State: radish.VMLeaving})
+		}, "llm-semarang-0"},
+		{"target says leaving", func(c *cluster) { c.fleet.Target("llm-semarang-0").SetLeaving(true) }, "llm-semarang-0"},
+	} {
+		t.Run(route.name, func(t *testing.T) {
+			fault := inBubble(t, func(t *testing.T) string {
+				c := newCluster(t, "bandung", "semarang")
+				defer c.close()
+				time.Sleep(settlingTime)
+				taken := time.Now()
+				go route.take(c)
+				c.load(rand.New(rand.NewPCG(2, 1)), 10*time.Second, 25*time.Millisecond)
+				c.calls.Wait()
+				if fault := c.begunLate(route.out, taken.Add(drainDeadline)); fault != "" {
+					return fault
+				}
+				return c.check()
+			})
+			if fault != "" {
+				t.Fatal(fault)
+			}
+		})
+	}
+}
+
+// cutDataCentre cuts a data centre off from the others and from the platform.
+func (c *cluster) cutDataCentre(dc string) {
+	c.network.SetBlocked(func(from, to string) bool { return strings.HasPrefix(from, dc) != strings.HasPrefix(to, dc) })
+	for _, v := range c.vms {
+		v.view.SetCut(strings.HasPrefix(v.name, dc))
+	}
+}
+
+// TestGracefulStopCutsNothing stops every VM in turn under load: no accepted request is cut.
+func TestGracefulStopCutsNothing(t *testing.T) {
+	fault := inBubble(t, func(t *testing.T) string {
+		c := newCluster(t, "bandung", "semarang")
+		defer c.close()
+		time.Sleep(settlingTime)
+		since := time.Now()
+		rng := rand.New(rand.NewPCG(5, 5))
+		for _, v := range c.vms[:5] {
+			v.stop()
+			c.load(rng, 3*time.Second, 25*time.Millisecond)
+		}
+		c.calls.Wait()
+		if fault := c.refusals(since); fault != "" {
+			return fault
+		}
+		return c.check()
+	})
+	if fault != "" {
+		t.Fatal(fault)
+	}
+}
+
+// TestDataCentreReturns drains a data centre, turns its targets cold meanwhile and brings it back under load.
+func TestDataCentreReturns(t *testing.T) {
+	fault := inBubble(t, func(t *testing.T) string {
+		c := newCluster(t, "bandung", "semarang")
+		defer c.close()
+		time.Sleep(settlingTime)
+		rng := rand.New(rand.NewPCG(6, 6))
+		since := time.Now()
+		c.apply(1, rulesText("drain data_centre=semarang # test\n"))
+		c.load(rng, 8*time.Second, 25*time.Millisecond)
+		for _, target := range c.targets {
+			if strings.Contains(target.Name, "semarang") {
+				target.TurnCold(12 * time.Second)
+			}
+		}
+		c.load(rng, 4*time.Second, 25*time.Millisecond)
+		c.apply(2, rulesText(""))
+		back := time.Now()
+		c.load(rng, 15*time.Second, 25*time.Millisecond)
+		c.calls.Wait()
+		if fault := c.refusals(since); fault != "" {
+			return fault
+		}
+		if c.coldBegun(back.Add(10*time.Second)) == 0 {
+			return "the data centre got no work after its return"
+		}
+		return c.check()
+	})
+	if fault != "" {
+		t.Fatal(fault)
+	}
+}
--- a/internal/radishserve/peer_handler.go
+++ b/internal/radishserve/peer_handler.go
@@ -19,8 +19,7 @@
 		s.takeHeartbeat(body.Heartbeat)
 		return &radishpeerpb.Response{}, nil
 	case *radishpeerpb.Request_Config:
-		raw, err := s.holder.EncodeFor(body.Config.GetAboveGeneration())
-		return &radishpeerpb.Response{Body: &radishpeerpb.Response_Config{Config: &radishpeerpb.ConfigReply{Snapshot: raw}}}, err
+		return s.answerConfig(body.Config)
 	case *radishpeerpb.Request_Permit:
 		return s.grantPermit(body.Permit), nil
 	case *radishpeerpb.Request_Release:
@@ -50,12 +49,26 @@
 		s.updateTargets()
 		s.heartbeats.sendSoon()
 	}
-	if hb.GetConfigGeneration() > s.holder.Generation() {
+	if hb.GetConfigGeneration() > s.holder.Generation() || !s.roster.HasList() {
 		s.pullConfig(hb.GetVm())
 	}
 }
 
-// pullConfig asks the peer for a newer configuration, in the background and once at a time.
+func (s *Server) answerConfig(req *radishpeerpb.ConfigRequest) (*radishpeerpb.Response, error) {
+	raw, err := s.holder.EncodeFor(req.GetAboveGeneration())
+	if err != nil {
+		return nil, err
+	}
+	reply := &radishpeerpb.ConfigReply{Snapshot: raw}
+	if req.GetWantVms() && s.roster.HasList() {
+		if reply.Vms, err = json.Marshal(s.roster.List()); err != nil {
+			return nil, err
+		}
+	}
+	return &radishpeerpb.Response{Body: &radishpeerpb.Response_Config{Config: reply}}, nil
+}
+
+// pullConfig asks the peer for what this VM lacks, in the background and once at a time.
 func (s *Server) pullConfig(peer string) {
 	if !s.pulling.CompareAndSwap(false, true) {
 		return
@@ -63,19 +76,35 @@
 	go func() {
 		defer s.pulling.Store(false)
 		res, err := s.node.Call(s.ctx, peer, &radishpeerpb.Request{Body: &radishpeerpb.Request_Config{
-			Config: &radishpeerpb.ConfigRequest{AboveGeneration: s.holder.Generation()},
+			Config: &radishpeerpb.ConfigRequest{AboveGeneration: s.holder.Generation(), WantVms: !s.roster.HasList()},
 		}})
-		if err != nil || len(res.GetConfig().GetSnapshot()) == 0 {
-			return
+		if err == nil {
+			err = s.takeConfig(peer, res.GetConfig())
 		}
-		if changed, err := s.holder.OfferEncoded(res.GetConfig().GetSnapshot()); err != nil {
-			s.Log.Warn("configuration of a peer refused", "peer", peer, "error", err)
-		} else if changed {
-			s.Log.Info("configuration in force", "generation", s.holder.Generation(), "from", peer)
+		if err != nil {
+			s.Log.Warn("configuration of a peer not taken", "peer", peer, "error", err)
 		}
 	}()
 }
 
+func (s *Server) takeConfig(peer string, reply *radishpeerpb.ConfigReply) error {
+	if len(reply.GetVms()) > 0 {
+		var vms []radish.VM
+		if err := json.Unmarshal(reply.GetVms(), &vms); err != nil {
+			return err
+		}
+		s.roster.OfferList(vms)
+	}
+	if len(reply.GetSnapshot()) == 0 {
+		return nil
+	}
+	changed, err := s.holder.OfferEncoded(reply.GetSnapshot())
+	if changed {
+		s.Log.Info("configuration in force", "generation", s.holder.Generation(), "from", peer)
+	}
+	return err
+}
+
 func (s *Server) grantPermit(req *radishpeerpb.PermitRequest) *radishpeerpb.Response {
 	permit, err := s.steward.Acquire(req.GetTarget(), time.Duration(req.GetTtlMs())*time.Millisecond)
 	reply := &radishpeerpb.PermitReply{Granted: err == nil, Id: permit.ID, Term: permit.Term}
--- a/internal/radishserve/server.go
+++ b/internal/radishserve/server.go
@@ -93,6 +93,7 @@
 	defer stop()
 	s.ctx = background
 	s.node.Listener = listeners.peer
+	s.connectPeers()
 	caller := &http.Server{
 		Handler: s.entry.Handler(), ReadHeaderTimeout: headerTimeout,
 		ReadTimeout: s.Settings.Caller.ReadTimeout, WriteTimeout: s.Settings.Caller.WriteTimeout,
--- a/pkg/radishpeer/node.go
+++ b/pkg/radishpeer/node.go
@@ -201,15 +201,29 @@
 	n.dropLink(session)
 }
 
+// addLink names the session; a peer that was dialled by its address alone gets its name with its first call.
 func (n *Node) addLink(name string, session *yamux.Session) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.links == nil {
+	if n.links == nil || name == "" {
 		return
 	}
+	for other, l := range n.links {
+		if l.session == session && other != name {
+			delete(n.links, other)
+		}
+	}
 	n.links[name] = &link{session: session}
 }
 
+// hasLink tells whether the session is known by the name.
+func (n *Node) hasLink(name string, session *yamux.Session) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.links[name]
+	return l != nil && (l.session == session || !l.session.IsClosed())
+}
+
 func (n *Node) dropLink(session *yamux.Session) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -239,8 +253,10 @@
 	if err := readMessage(stream, &req); err != nil {
 		return
 	}
-	if req.GetBody() == nil {
+	if !n.hasLink(req.GetFrom(), session) {
 		n.addLink(req.GetFrom(), session)
+	}
+	if req.GetBody() == nil {
 		_, _ = protodelim.MarshalTo(stream, &radishpeerpb.Response{})
 		return
 	}
--- a/pkg/radishroster/roster.go
+++ b/pkg/radishroster/roster.go
@@ -63,6 +63,17 @@
 		r.Log.Debug("list of VMs not read", "error", err)
 		return
 	}
+	r.setList(vms)
+}
+
+// OfferList takes in the list as a peer has it, unless this VM has read one itself.
+func (r *Roster) OfferList(vms []radish.VM) {
+	if !r.HasList() {
+		r.setList(vms)
+	}
+}
+
+func (r *Roster) setList(vms []radish.VM) {
 	r.mu.Lock()
 	changed := !r.read || !slices.Equal(vms, r.vms)
 	r.vms = vms
@@ -76,6 +87,13 @@
 	}
 }
 
+// List returns the platform's list as last read.
+func (r *Roster) List() []radish.VM {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.vms)
+}
+
 // Beat takes in a heartbeat of a peer.
 func (r *Roster) Beat(vm, dataCentre string, leaving bool) {
 	r.mu.Lock()
