Report every fault of settings and rules at once, with file, line, field and what is allowed

Cause: an unknown section went unreported as soon as another value had a wrong type. The decoder looks for unknown names only where no decoding failed, as a file with both showed.

Ruled out: decoding section by section, which still loses names inside a section at fault.

Change: unknown names are found by comparing the file with the settings' types.

--- a/internal/radishsetting/load.go
+++ b/internal/radishsetting/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"reflect"
 	"slices"
@@ -79,10 +80,8 @@
 }
 
 func (d *document) decode(raw map[string]any, cfg *Settings) []error {
-	var meta mapstructure.Metadata
 	decoder, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
 		TagName:    "setting",
-		Metadata:   &meta,
 		MatchName:  func(key, field string) bool { return key == field },
 		DecodeHook: mapstructure.StringToTimeDurationHookFunc(),
 		Result:     cfg,
@@ -95,13 +94,45 @@
 		field, fault := splitDecodeError(err)
 		faults = append(faults, d.fault(field, fault))
 	}
-	slices.Sort(meta.Unused)
-	for _, field := range meta.Unused {
-		faults = append(faults, d.fault(field, "unknown setting (allowed: "+strings.Join(siblings(field), ", ")+")"))
+	return append(faults, d.unknown(raw)...)
+}
+
+// unknown reports the sections and settings that nothing reads; the decoder itself stops looking for them at the
+// first value of a wrong type.
+func (d *document) unknown(raw map[string]any) []error {
+	var faults []error
+	sections := fieldTypes(reflect.TypeFor[Settings]())
+	for _, section := range slices.Sorted(maps.Keys(raw)) {
+		t, known := sections[section]
+		if !known {
+			faults = append(faults, d.unknownFault(section, sections))
+			continue
+		}
+		values, _ := raw[section].(map[string]any)
+		fields := fieldTypes(t)
+		for _, field := range slices.Sorted(maps.Keys(values)) {
+			if _, known := fields[field]; !known {
+				faults = append(faults, d.unknownFault(section+"."+field, fields))
+			}
+		}
 	}
 	return faults
 }
 
+func (d *document) unknownFault(field string, allowed map[string]reflect.Type) error {
+	names := slices.Sorted(maps.Keys(allowed))
+	return d.fault(field, "unknown setting (allowed: "+strings.Join(names, ", ")+")")
+}
+
+// fieldTypes returns the types of a struct's settings by their names.
+func fieldTypes(t reflect.Type) map[string]reflect.Type {
+	types := make(map[string]reflect.Type, t.NumField())
+	for i := range t.NumField() {
+		types[t.Field(i).Tag.Get("setting")] = t.Field(i).Type
+	}
+	return types
+}
+
 // flatten returns the leaves of an error tree that joins and wraps others.
 func flatten(err error) []error {
 	if err == nil {
@@ -188,20 +219,8 @@
 	return 1
 }
 
-func siblings(field string) []string {
-	t := reflect.TypeFor[Settings]()
-	parts := strings.Split(field, ".")
-	for _, part := range parts[:len(parts)-1] {
-		for i := range t.NumField() {
-			if t.Field(i).Tag.Get("setting") == part {
-				t = t.Field(i).Type
-				break
-			}
-		}
-	}
-	var names []string
-	for i := range t.NumField() {
-		names = append(names, t.Field(i).Tag.Get("setting"))
-	}
-	return names
+// Has tells whether the text holds a value at the JSON pointer.
+func Has(text []byte, pointer string) bool {
+	tree, err := hujson.Parse(text)
+	return err == nil && tree.Find(pointer) != nil
 }
--- a/internal/radishstandin/target.go
+++ b/internal/radishstandin/target.go
@@ -298,16 +298,22 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if a.cut {
 		_, _ = w.Write(body[:len(body)/2])
-		panic(http.ErrAbortHandler)
+		cutOff(w)
 	}
 	_, _ = w.Write(body)
 }
 
+// cutOff sends what is written and breaks the connection.
+func cutOff(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
 func (t *Target) answerStream(w http.ResponseWriter, a attempt) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := range t.Tokens {
 		if a.cut && i == t.Tokens/2 {
-			panic(http.ErrAbortHandler)
+			cutOff(w)
 		}
 		_, _ = fmt.Fprintf(w, "data: {\"token\":%d}\n\n", i)
 	}
--- a/pkg/radishrule/parse.go
+++ b/pkg/radishrule/parse.go
@@ -192,7 +192,7 @@
 		return err
 	}
 	if err := decoder.Decode(fields); err != nil {
-		return fmt.Errorf("%s (allowed fields: %s)", oneLine(err), strings.Join(fieldNames(rule), ", "))
+		return fmt.Errorf("%s (allowed fields: %s)", decodeFault(err), strings.Join(fieldNames(rule), ", "))
 	}
 	if err := validate.Struct(rule); err != nil {
 		return rangeError(err)
@@ -200,8 +200,10 @@
 	return nil
 }
 
-func oneLine(err error) string {
-	return strings.Join(strings.Fields(err.Error()), " ")
+// decodeFault returns the decoder's error as one line without its heading.
+func decodeFault(err error) string {
+	text := strings.Join(strings.Fields(err.Error()), " ")
+	return strings.TrimPrefix(text, "decoding failed due to the following error(s): ")
 }
 
 func fieldNames(rule any) []string {
@@ -241,6 +243,8 @@
 		return "below " + f.Param()
 	case "required_without":
 		return "given when the other is not"
+	case "excluded_with":
+		return "absent when " + strings.ToLower(f.Param()) + " is given"
 	default:
 		return strings.TrimSpace(f.Tag() + " " + f.Param())
 	}
