--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEED ?= 0
 COUNT ?= 1000
 
-.PHONY: setup build generate demo bench test lint model promises fuzz
+.PHONY: setup build generate demo bench slopes measure test lint model promises fuzz
 
 setup: ## Fetch the libraries and build the linter.
 	go mod download
@@ -45,3 +45,6 @@
 
 bench: build ## Measure what an entry VM adds to a four-stage request.
 	tools/bench/run.sh
+
+slopes: ## Measure how control grows with size and extrapolate it.
+	go run ./tools/slopes
