Carry rules over from one configuration to the next in place of reading them all again

Ruled out: remembering decoded lines and sizing maps ahead alone, 39.8 ms and 0.74 %: still too much beside the 0.55 % of the rest of control.

Change: the head tells what changed; the rule set is cloned, the lines taken out and put in, and references checked. A drawn test compares the result with reading all lines: it found nil against empty lists of drains, which mean the same. Read again, the code would have missed a rule that the parser had forgotten; rules are now compared by their lines.

--- a/pkg/radishconfig/head.go
+++ b/pkg/radishconfig/head.go
@@ -92,23 +92,29 @@
 	return recent
 }
 
-func lineID(l radishrule.Line) string { return l.Text + " # " + l.Comment }
+// lineID is what tells one line from another.
+type lineID struct {
+	text    string
+	comment string
+}
+
+func idOf(l radishrule.Line) lineID { return lineID{text: l.Text, comment: l.Comment} }
 
 // diff returns the lines to take out of and to put into before to get after.
 func diff(before, after []radishrule.Line) (removed, added []radishrule.Line) {
-	old := make(map[string]bool, len(before))
+	old := make(map[lineID]bool, len(before))
 	for _, l := range before {
-		old[lineID(l)] = true
+		old[idOf(l)] = true
 	}
-	kept := make(map[string]bool, len(after))
+	kept := make(map[lineID]bool, len(after))
 	for _, l := range after {
-		kept[lineID(l)] = true
-		if !old[lineID(l)] {
+		kept[idOf(l)] = true
+		if !old[idOf(l)] {
 			added = append(added, l)
 		}
 	}
 	for _, l := range before {
-		if !kept[lineID(l)] {
+		if !kept[idOf(l)] {
 			removed = append(removed, l)
 		}
 	}
@@ -117,14 +123,18 @@
 
 // applyDelta returns the lines after the change, in canonical order.
 func applyDelta(lines []radishrule.Line, d Delta) []radishrule.Line {
-	gone := make(map[string]bool, len(d.Removed))
+	gone := make(map[lineID]bool, len(d.Removed))
 	for _, l := range d.Removed {
-		gone[lineID(l)] = true
+		gone[idOf(l)] = true
 	}
 	next := make([]radishrule.Line, 0, len(lines)+len(d.Added))
-	for _, l := range lines {
-		if !gone[lineID(l)] {
-			next = append(next, l)
+	if len(gone) == 0 {
+		next = append(next, lines...)
+	} else {
+		for _, l := range lines {
+			if !gone[idOf(l)] {
+				next = append(next, l)
+			}
 		}
 	}
 	for _, l := range d.Added {
--- a/pkg/radishconfig/holder.go
+++ b/pkg/radishconfig/holder.go
@@ -52,7 +52,7 @@
 	if snapshot.Head.Generation <= h.Generation() {
 		return false, nil
 	}
-	rules, err := h.parser.Parse(snapshot.Lines)
+	rules, err := h.parse(snapshot)
 	if err != nil {
 		return false, trace.Wrap(err, "generation %d", snapshot.Head.Generation)
 	}
@@ -64,6 +64,27 @@
 	return true, nil
 }
 
+// parse carries the rules in force over to the snapshot if its head tells what changed, and reads all lines if not.
+func (h *Holder) parse(snapshot *Snapshot) (*radishrule.RuleSet, error) {
+	current := h.current.Load()
+	if current == nil {
+		return h.parser.Parse(snapshot.Lines)
+	}
+	deltas, ok := snapshot.Head.deltasAfter(current.Snapshot.Head.Generation)
+	if !ok {
+		return h.parser.Parse(snapshot.Lines)
+	}
+	rules := current.Rules
+	for _, d := range deltas {
+		next, err := h.parser.Advance(rules, d.Removed, d.Added, snapshot.Lines)
+		if err != nil {
+			return h.parser.Parse(snapshot.Lines)
+		}
+		rules = next
+	}
+	return rules, nil
+}
+
 // EncodeFor returns what a peer at the generation lacks: the head alone when its deltas reach back that far, the
 // whole snapshot otherwise, and nil when the peer has all that this VM has.
 func (h *Holder) EncodeFor(generation uint64) ([]byte, error) {
--- a/pkg/radishconfig/store.go
+++ b/pkg/radishconfig/store.go
@@ -169,13 +169,13 @@
 
 // keepSince gives lines that stood in the configuration before the time from which they have been in it.
 func keepSince(lines, before []radishrule.Line, now time.Time) {
-	since := make(map[string]time.Time, len(before))
+	since := make(map[lineID]time.Time, len(before))
 	for _, line := range before {
-		since[lineID(line)] = line.Since
+		since[idOf(line)] = line.Since
 	}
 	for i := range lines {
 		lines[i].Since = now
-		if t, ok := since[lineID(lines[i])]; ok {
+		if t, ok := since[idOf(lines[i])]; ok {
 			lines[i].Since = t
 		}
 	}
@@ -185,7 +185,7 @@
 func (s *Store) writeShards(ctx context.Context, lines []radishrule.Line, before []string) ([]string, error) {
 	buckets := make([][]radishrule.Line, bucketCount)
 	for _, l := range lines {
-		i := xxhash.Sum64String(lineID(l)) % bucketCount
+		i := xxhash.Sum64String(l.Text) % bucketCount
 		buckets[i] = append(buckets[i], l)
 	}
 	digests := make([]string, bucketCount)
--- a/pkg/radishrule/kind.go
+++ b/pkg/radishrule/kind.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"radishramp.example/radishramp/pkg/radish"
@@ -15,6 +16,8 @@
 	Finish func(rule any, line Line) error
 	// Add puts a finished rule into the set and returns an error for a duplicate.
 	Add func(s *RuleSet, rule any) error
+	// Remove takes a rule that Add put in out of the set.
+	Remove func(s *RuleSet, rule any)
 	// Check tests the rule's references once all lines are read; nil when it has none.
 	Check func(s *RuleSet, rule any) error
 }
@@ -24,6 +27,7 @@
 
 func init() {
 	Kinds.Register("pipeline", Kind{
+		Remove: func(s *RuleSet, rule any) { delete(s.Pipelines, rule.(*Pipeline).Name) },
 		New:    func() any { return &Pipeline{} },
 		Finish: finishPipeline,
 		Add: func(s *RuleSet, rule any) error {
@@ -33,6 +37,7 @@
 		Check: checkPipeline,
 	})
 	Kinds.Register("service", Kind{
+		Remove: func(s *RuleSet, rule any) { delete(s.Services, rule.(*Service).Name) },
 		New:    func() any { return &Service{Idempotent: true, ColdCapacity: 1, MaxInFlight: 64} },
 		Finish: func(rule any, line Line) error { rule.(*Service).Line = line; return nil },
 		Add: func(s *RuleSet, rule any) error {
@@ -41,11 +46,16 @@
 		},
 	})
 	Kinds.Register("team", Kind{
+		Remove: func(s *RuleSet, rule any) {
+			delete(s.Teams, rule.(*Team).Name)
+			delete(s.Tokens, rule.(*Team).TokenSHA256)
+		},
 		New:    func() any { return &Team{Share: 1} },
 		Finish: func(rule any, line Line) error { rule.(*Team).Line = line; return nil },
 		Add:    addTeam,
 	})
 	Kinds.Register("limit", Kind{
+		Remove: func(s *RuleSet, rule any) { delete(s.Limits, LimitKey{rule.(*Limit).Team, rule.(*Limit).Pipeline}) },
 		New:    func() any { return &Limit{} },
 		Finish: func(rule any, line Line) error { rule.(*Limit).Line = line; return nil },
 		Add: func(s *RuleSet, rule any) error {
@@ -58,6 +68,9 @@
 		},
 	})
 	Kinds.Register("priority", Kind{
+		Remove: func(s *RuleSet, rule any) {
+			delete(s.Priorities, LimitKey{rule.(*Priority).Team, rule.(*Priority).Pipeline})
+		},
 		New:    func() any { return &Priority{} },
 		Finish: func(rule any, line Line) error { rule.(*Priority).Line = line; return nil },
 		Add: func(s *RuleSet, rule any) error {
@@ -70,6 +83,7 @@
 		},
 	})
 	Kinds.Register("retry", Kind{
+		Remove: func(s *RuleSet, rule any) { delete(s.Retries, rule.(*Retry).Service) },
 		New:    func() any { return &Retry{} },
 		Finish: func(rule any, line Line) error { rule.(*Retry).Line = line; return nil },
 		Add: func(s *RuleSet, rule any) error {
@@ -81,11 +95,15 @@
 		},
 	})
 	Kinds.Register("drain", Kind{
+		Remove: func(s *RuleSet, rule any) {
+			s.Drains = slices.DeleteFunc(slices.Clone(s.Drains), func(d *Drain) bool { return d.Line.isSame(rule.(*Drain).Line) })
+		},
 		New:    func() any { return &Drain{} },
 		Finish: func(rule any, line Line) error { rule.(*Drain).Line = line; return nil },
 		Add:    addDrain,
 	})
 	Kinds.Register("objective", Kind{
+		Remove: func(s *RuleSet, rule any) { delete(s.Objectives, rule.(*Objective).Pipeline) },
 		New:    func() any { return &Objective{} },
 		Finish: func(rule any, line Line) error { rule.(*Objective).Line = line; return nil },
 		Add: func(s *RuleSet, rule any) error {
--- a/pkg/radishrule/parse.go
+++ b/pkg/radishrule/parse.go
@@ -71,7 +71,10 @@
 	comment string
 }
 
-// Parser reads successive sets of lines and decodes again only the lines that it has not met in the last one;
+// forgetSlack is how many lines that are no longer in use a parser remembers at least.
+const forgetSlack = 1024
+
+// Parser reads successive sets of lines and decodes only the lines that it has not met before;
 // the zero value is ready, and it is not safe for concurrent use.
 type Parser struct {
 	known map[lineKey]parsedRule
@@ -84,9 +87,38 @@
 
 // Parse returns the checked set of the lines, or every fault at once.
 func (p *Parser) Parse(lines []Line) (*RuleSet, error) {
-	set := newRuleSet()
+	set := newRuleSet(len(lines))
+	set.Lines = lines
+	p.forgetOld(len(lines))
+	if err := p.addAll(set, lines); err != nil {
+		return nil, err
+	}
+	return set, nil
+}
+
+// Advance returns the checked set of the lines that result from taking some out of before and putting others in. It
+// costs far less than Parse: the rest of the rules is carried over, and before stays as it is.
+func (p *Parser) Advance(before *RuleSet, removed, added, lines []Line) (*RuleSet, error) {
+	set := before.clone()
 	set.Lines = lines
-	next := make(map[lineKey]parsedRule, len(lines))
+	p.forgetOld(len(lines))
+	for _, line := range removed {
+		parsed, err := p.parseLine(line)
+		if err != nil {
+			return nil, err
+		}
+		parsed.kind.Remove(set, parsed.rule)
+		set.referring = slices.DeleteFunc(set.referring, func(r parsedRule) bool { return r.line.isSame(line) })
+		delete(p.known, lineKey{line.Text, line.Comment})
+	}
+	if err := p.addAll(set, added); err != nil {
+		return nil, err
+	}
+	return set, nil
+}
+
+// addAll puts the lines into the set and then checks the references of all its rules.
+func (p *Parser) addAll(set *RuleSet, lines []Line) error {
 	var faults []error
 	for _, line := range lines {
 		parsed, err := p.parseLine(line)
@@ -97,22 +129,27 @@
 			faults = append(faults, &LineError{Line: line.Number, Text: line.Text, Err: err})
 			continue
 		}
-		next[lineKey{line.Text, line.Comment}] = parsed
+		if parsed.kind.Check != nil {
+			set.referring = append(set.referring, parsed)
+		}
 	}
-	faults = append(faults, checkReferences(set, next)...)
+	faults = append(faults, checkReferences(set)...)
 	if len(faults) > 0 {
-		return nil, joinByLine(faults)
+		return joinByLine(faults)
+	}
+	return nil
+}
+
+// forgetOld drops what is known of earlier lines once it outgrows what is in use.
+func (p *Parser) forgetOld(lines int) {
+	if p.known == nil || len(p.known) > 2*lines+forgetSlack {
+		p.known = make(map[lineKey]parsedRule, lines)
 	}
-	p.known = next
-	return set, nil
 }
 
-func checkReferences(set *RuleSet, rules map[lineKey]parsedRule) []error {
+func checkReferences(set *RuleSet) []error {
 	var faults []error
-	for _, p := range rules {
-		if p.kind.Check == nil {
-			continue
-		}
+	for _, p := range set.referring {
 		if err := p.kind.Check(set, p.rule); err != nil {
 			faults = append(faults, &LineError{Line: p.line.Number, Text: p.line.Text, Err: err})
 		}
@@ -158,7 +195,12 @@
 	if err := decodeFields(fields, rule); err != nil {
 		return parsedRule{}, err
 	}
-	return parsedRule{kind: kind, rule: rule, line: line}, kind.Finish(rule, line)
+	if err := kind.Finish(rule, line); err != nil {
+		return parsedRule{}, err
+	}
+	parsed := parsedRule{kind: kind, rule: rule, line: line}
+	p.known[lineKey{line.Text, line.Comment}] = parsed
+	return parsed, nil
 }
 
 func splitFields(words []string) (map[string]string, error) {
--- a/pkg/radishrule/parse_test.go
+++ b/pkg/radishrule/parse_test.go
@@ -2,14 +2,23 @@
 
 import (
 	"errors"
+	"flag"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
 
 	"radishramp.example/radishramp/pkg/radishrule"
 )
 
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+}
+
 func TestParse(t *testing.T) {
 	datadriven.RunTest(t, "testdata/parse", func(t *testing.T, d *datadriven.TestData) string {
 		input := strings.ReplaceAll(d.Input, "TOKEN_A", strings.Repeat("a", 64))
@@ -50,3 +59,67 @@
 		}
 	})
 }
+
+// TestAdvanceEqualsParse draws changes and compares the rules carried over with the same lines read anew.
+func TestAdvanceEqualsParse(t *testing.T) {
+	pool := radishrule.SplitLines(`
+service name=llm # a
+service name=llm idempotent=false # b
+service name=booking idempotent=false # c
+pipeline name=p stages=generate/llm deadline=5s # d
+pipeline name=p stages=call/booking deadline=5s # e
+team name=t token_sha256=` + strings.Repeat("a", 64) + ` # f
+team name=u token_sha256=` + strings.Repeat("a", 64) + ` # g
+limit team=t requests_per_s=5 # h
+limit team=t pipeline=p requests_per_s=5 # i
+priority pipeline=p level=2 # j
+retry service=llm budget=0.1 # k
+objective pipeline=p attainment=0.99 # l
+drain target=x # m
+drain data_centre=x # n
+drain target=x # o
+`)
+	advanced := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		parser := &radishrule.Parser{}
+		set, err := parser.Parse(nil)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		var lines []radishrule.Line
+		for range 12 {
+			var removed, added, next []radishrule.Line
+			for _, l := range pool {
+				has := slices.Contains(lines, l)
+				flip := rapid.IntRange(0, 4).Draw(rt, "flip") == 0
+				switch {
+				case has && flip:
+					removed = append(removed, l)
+				case !has && flip:
+					added = append(added, l)
+				}
+				if has != flip {
+					next = append(next, l)
+				}
+			}
+			want, wantErr := radishrule.ParseLines(next)
+			got, gotErr := parser.Advance(set, removed, added, next)
+			if (wantErr == nil) != (gotErr == nil) {
+				rt.Fatalf("advance: %v, parse: %v", gotErr, wantErr)
+			}
+			if wantErr != nil {
+				continue
+			}
+			advanced++
+			byLine := func(a, b *radishrule.Drain) bool { return a.Line.Text+a.Line.Comment < b.Line.Text+b.Line.Comment }
+			opts := cmp.Options{cmpopts.IgnoreUnexported(radishrule.RuleSet{}), cmpopts.SortSlices(byLine), cmpopts.EquateEmpty()}
+			if diff := cmp.Diff(want, got, opts); diff != "" {
+				rt.Fatalf("the sets differ: %s", diff)
+			}
+			set, lines = got, next
+		}
+	})
+	if advanced == 0 {
+		t.Fatal("no change was valid")
+	}
+}
--- a/pkg/radishrule/rule_set.go
+++ b/pkg/radishrule/rule_set.go
@@ -1,6 +1,8 @@
 package radishrule
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -15,6 +17,11 @@
 	Since time.Time `json:"since"`
 }
 
+// isSame tells whether the lines say the same, whatever their numbers and times.
+func (l Line) isSame(other Line) bool {
+	return l.Text == other.Text && l.Comment == other.Comment
+}
+
 // Kind returns the first word of the line.
 func (l Line) Kind() string {
 	kind, _, _ := strings.Cut(strings.TrimSpace(l.Text), " ")
@@ -105,6 +112,18 @@
 	Retries    map[string]*Retry
 	Objectives map[string]*Objective
 	Drains     []*Drain
+
+	// referring are the rules that name others.
+	referring []parsedRule
+}
+
+// clone copies the set, not the rules in it.
+func (s *RuleSet) clone() *RuleSet {
+	return &RuleSet{
+		Pipelines: maps.Clone(s.Pipelines), Services: maps.Clone(s.Services), Teams: maps.Clone(s.Teams), Tokens: maps.Clone(s.Tokens),
+		Limits: maps.Clone(s.Limits), Priorities: maps.Clone(s.Priorities), Retries: maps.Clone(s.Retries),
+		Objectives: maps.Clone(s.Objectives), Drains: slices.Clone(s.Drains), referring: slices.Clone(s.referring),
+	}
 }
 
 // LimitKey names a team and a pipeline; an empty field stands for all of them.
@@ -113,12 +132,13 @@
 	Pipeline string
 }
 
-func newRuleSet() *RuleSet {
+// newRuleSet makes room for as many teams as there can be: teams are nearly all of a large file.
+func newRuleSet(lines int) *RuleSet {
 	return &RuleSet{
 		Pipelines:  make(map[string]*Pipeline),
 		Services:   make(map[string]*Service),
-		Teams:      make(map[string]*Team),
-		Tokens:     make(map[string]*Team),
+		Teams:      make(map[string]*Team, lines),
+		Tokens:     make(map[string]*Team, lines),
 		Limits:     make(map[LimitKey]*Limit),
 		Priorities: make(map[LimitKey]*Priority),
 		Retries:    make(map[string]*Retry),
--- a/tools/slopes/main.go
+++ b/tools/slopes/main.go
@@ -24,7 +24,8 @@
 )
 
 type options struct {
-	Seconds int `long:"seconds" default:"15" description:"Time of each measurement of a cluster"`
+	Only    string `long:"only" description:"Measure only this: config, claim, cluster or poll"`
+	Seconds int    `long:"seconds" default:"15" description:"Time of each measurement of a cluster"`
 }
 
 // point is a measured value at a size.
@@ -87,14 +88,22 @@
 }
 
 func run(opts options) error {
-	if err := measureConfiguration(); err != nil {
-		return err
+	parts := []struct {
+		name    string
+		measure func() error
+	}{
+		{"config", measureConfiguration},
+		{"claim", measureClaims},
+		{"cluster", func() error { return measureCluster(time.Duration(opts.Seconds) * time.Second) }},
+		{"poll", measurePolls},
 	}
-	if err := measureClaims(); err != nil {
-		return err
+	for _, part := range parts {
+		if opts.Only != "" && opts.Only != part.name {
+			continue
+		}
+		if err := part.measure(); err != nil {
+			return err
+		}
 	}
-	if err := measureCluster(time.Duration(opts.Seconds) * time.Second); err != nil {
-		return err
-	}
-	return measurePolls()
+	return nil
 }
