--- a/tools/slopes/config.go
+++ b/tools/slopes/config.go
@@ -81,7 +81,6 @@
 		return cost, err
 	}
 	cost.boot = processorTime() - start
-	snapshot = nil
 	cost.heapBytes = heap() - before
 	if _, err := peer.Offer(holder.Snapshot()); err != nil {
 		return cost, err
@@ -120,8 +119,12 @@
 	}
 	c.deltaBytes = len(raw)
 	start := processorTime()
-	if changed, err := peer.OfferEncoded(raw); err != nil || !changed {
-		return fmt.Errorf("%w: change not taken: %v", radish.ErrUnavailable, err)
+	changed, err := peer.OfferEncoded(raw)
+	if err == nil && !changed {
+		err = radish.ErrConflict
+	}
+	if err != nil {
+		return fmt.Errorf("change not taken: %w", err)
 	}
 	c.delta += processorTime() - start
 	return nil
