--- a/internal/radishserve/peer_handler.go
+++ b/internal/radishserve/peer_handler.go
@@ -82,7 +82,7 @@
 			err = s.takeConfig(peer, res.GetConfig())
 		}
 		if err != nil {
-			s.Log.Warn("configuration of a peer not taken", "peer", peer, "error", err)
+			s.Log.Warn("configuration of a peer not taken", "peer", peer, "error", err.Error())
 		}
 	}()
 }
--- a/pkg/radishclaim/ledger.go
+++ b/pkg/radishclaim/ledger.go
@@ -145,7 +145,7 @@
 			op.Outcome = nil
 			op.OutcomeObject = claim.Key.outcomeObject(op.ClaimID)
 			if err := l.storeOutcome(ctx, op.OutcomeObject, outcome); err != nil {
-				l.Log.Error("outcome not stored", "claim", op.ClaimID, "error", err)
+				l.Log.Error("outcome not stored", "claim", op.ClaimID, "error", err.Error())
 				return
 			}
 		}
@@ -180,7 +180,7 @@
 		return l.Writer.Write(ctx, key.object(), []Op{op})
 	})
 	if err != nil {
-		l.Log.Warn("claim not settled", "claim", op.ClaimID, "state", op.State, "error", err)
+		l.Log.Warn("claim not settled", "claim", op.ClaimID, "state", op.State, "error", err.Error())
 	}
 }
 
--- a/pkg/radishconfig/watcher.go
+++ b/pkg/radishconfig/watcher.go
@@ -41,7 +41,7 @@
 	for ctx.Err() == nil {
 		err := w.step(ctx)
 		if err != nil && ctx.Err() == nil {
-			w.Log.Warn("configuration not read", "error", err)
+			w.Log.Warn("configuration not read", "error", err.Error())
 		}
 		if !w.pause(ctx, err) {
 			break
--- a/pkg/radishlease/lease.go
+++ b/pkg/radishlease/lease.go
@@ -140,7 +140,7 @@
 	}
 	var current record
 	if err := json.Unmarshal(obj.Value, &current); err != nil {
-		l.Log.Error("lease object is not readable", "key", l.Key, "error", err)
+		l.Log.Error("lease object is not readable", "key", l.Key, "error", err.Error())
 		return
 	}
 	l.observe(current)
--- a/pkg/radishpermit/steward.go
+++ b/pkg/radishpermit/steward.go
@@ -14,6 +14,9 @@
 // settleTime is how long after its grant a permit's attempt has reached the target.
 const settleTime = 300 * time.Millisecond
 
+// firstTerm is the term of a lease that nobody held before, so that no permits of a predecessor are out.
+const firstTerm = 1
+
 // cancelMargin is how long a target may take to notice that an attempt was cancelled at its permit's end.
 const cancelMargin = 500 * time.Millisecond
 
@@ -81,7 +84,7 @@
 	if len(s.outstanding[target])+foreign.inFlight >= s.Capacity(target) {
 		return Permit{}, radish.ErrNoCapacity
 	}
-	if lease.Since.IsZero() || now.Sub(lease.Since) < s.MaxPermit+cancelMargin {
+	if lease.Since.IsZero() || (lease.Term > firstTerm && now.Sub(lease.Since) < s.MaxPermit+cancelMargin) {
 		return Permit{}, radish.ErrLeaseLost
 	}
 	// The lease is tested last: whatever delayed this call until here, a lapsed lease grants nothing.
--- a/pkg/radishroster/roster.go
+++ b/pkg/radishroster/roster.go
@@ -60,7 +60,7 @@
 func (r *Roster) readList(ctx context.Context) {
 	vms, err := r.Platform.VMs(ctx)
 	if err != nil {
-		r.Log.Debug("list of VMs not read", "error", err)
+		r.Log.Debug("list of VMs not read", "error", err.Error())
 		return
 	}
 	r.setList(vms)
