--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,6 @@
 
 slopes: ## Measure how control grows with size and extrapolate it.
 	go run ./tools/slopes
+
+measure: ## Compare the policies in scenarios of load and faults; JSON lines, and a table on standard error.
+	go test -count=1 -timeout 20m -run '^TestMeasure$$' ./internal/radishserve -measure.seeds=5 | grep '^{'
--- a/internal/radishserve/cluster_test.go
+++ b/internal/radishserve/cluster_test.go
@@ -66,6 +66,8 @@
 // cluster is a set of entry VMs and targets in one bubble.
 type cluster struct {
 	t        *testing.T
+	picker   string
+	slots    int
 	platform *radishstandin.Platform
 	fleet    *radishstandin.Fleet
 	network  *radishstandin.Network
@@ -92,8 +94,12 @@
 }
 
 func newCluster(t *testing.T, dataCentres ...string) *cluster {
+	return newClusterWith(t, "power_of_two", 0, dataCentres...)
+}
+
+func newClusterWith(t *testing.T, picker string, slots int, dataCentres ...string) *cluster {
 	c := &cluster{
-		t: t, platform: radishstandin.NewPlatform(), fleet: &radishstandin.Fleet{Latency: time.Millisecond},
+		t: t, picker: picker, slots: slots, platform: radishstandin.NewPlatform(), fleet: &radishstandin.Fleet{Latency: time.Millisecond},
 		network: &radishstandin.Network{},
 	}
 	c.stores = &radishconfig.Store{Platform: c.platform}
@@ -128,7 +134,7 @@
 func (c *cluster) addTarget(dc, name, service string, work time.Duration) {
 	t := &radishstandin.Target{
 		Name: name, Work: work, ColdFactor: 4, ColdCapacity: coldBears, Notice: testNotice, Tokens: 4, RecordBegun: true,
-		ReportLag: 200 * time.Millisecond,
+		ReportLag: 200 * time.Millisecond, Slots: c.slots,
 	}
 	c.fleet.Add(t)
 	c.targets = append(c.targets, t)
@@ -141,6 +147,7 @@
 	cfg.VM = radishsetting.VM{Name: name, DataCentre: dc}
 	cfg.Caller.Listen, cfg.Operator.Listen, cfg.Peer.Listen = name+":1", name+":2", name+":3"
 	cfg.Peer.Seeds = seeds
+	cfg.Routing.Picker = c.picker
 	cfg.Shutdown.BalancerWait = 500 * time.Millisecond
 	v := &vm{name: name, view: &radishstandin.View{Platform: c.platform}, done: make(chan struct{})}
 	v.server = &Server{
--- a/internal/radishstandin/fleet.go
+++ b/internal/radishstandin/fleet.go
@@ -81,7 +81,7 @@
 		return nil, radish.ErrRejected
 	}
 	defer t.end(run)
-	if !sleep(ctx, run.work) {
+	if !t.runWork(ctx, run.work) {
 		return nil, fmt.Errorf("%w: %w", radish.ErrTargetFailed, ctx.Err())
 	}
 	t.mu.Lock()
--- a/internal/radishstandin/target.go
+++ b/internal/radishstandin/target.go
@@ -41,6 +41,8 @@
 	Notice time.Duration
 	// MaxInFlight is how many attempts a warm target takes before it refuses; 0 means no bound.
 	MaxInFlight int
+	// Slots is how many attempts the target works on at a time, the others wait; 0 means no bound.
+	Slots int
 	// Tokens is the number of events of a streamed answer.
 	Tokens int
 	// RecordBegun keeps the time of every attempt for Begun.
@@ -48,6 +50,7 @@
 	// ReportLag is the age of what load reports say.
 	ReportLag time.Duration
 
+	slots      chan struct{}
 	mu         sync.Mutex
 	coldUntil  time.Time
 	leaving    bool
@@ -131,6 +134,9 @@
 // Start begins the cold start.
 func (t *Target) Start() {
 	t.ran = make(map[string]int)
+	if t.Slots > 0 {
+		t.slots = make(chan struct{}, t.Slots)
+	}
 	if t.ColdFor > 0 {
 		t.TurnCold(t.ColdFor)
 	}
@@ -209,7 +215,7 @@
 		return
 	}
 	defer t.end(a)
-	if !sleep(r.Context(), a.work) {
+	if !t.runWork(r.Context(), a.work) {
 		return
 	}
 	t.answerHeaders(w, a)
@@ -223,6 +229,20 @@
 	}
 }
 
+// runWork waits for a slot and works; false means that the caller gave up first.
+func (t *Target) runWork(ctx context.Context, work time.Duration) bool {
+	if t.slots == nil {
+		return sleep(ctx, work)
+	}
+	select {
+	case t.slots <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-t.slots }()
+	return sleep(ctx, work)
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return true
