--- a/internal/radishtarget/dispatcher.go
+++ b/internal/radishtarget/dispatcher.go
@@ -28,6 +28,10 @@
 	refusalTime = 100 * time.Millisecond
 	// remoteProbes is how many targets of other data centres are asked at a time.
 	remoteProbes = 2
+	// overflowFactor is how many times as long the wait in the own data centre must be before another one is used.
+	overflowFactor = 2
+	// overflowLoad is the load of a target below which its data centre is not left.
+	overflowLoad = 4
 	// coldShare is the share of attempts offered to a cold target first, which lets it warm up.
 	coldShare = 0.05
 )
@@ -133,8 +137,27 @@
 	if len(choice.Warm) == 0 {
 		return radish.Target{}, radishpermit.Permit{}, fmt.Errorf("%w: service %s", radish.ErrNoTarget, call.Service.Name)
 	}
-	i := d.Picker.Pick(choice.Warm, call.PrefixKey)
-	return choice.Warm[i].Target, radishpermit.Permit{}, nil
+	return d.chooseWarm(ctx, call, choice), radishpermit.Permit{}, nil
+}
+
+// chooseWarm picks a target of the own data centre, or of another one when the own is far slower at present.
+func (d *Dispatcher) chooseWarm(ctx context.Context, call *StageCall, choice Choice) radish.Target {
+	local := choice.Warm[d.Picker.Pick(choice.Warm, call.PrefixKey)]
+	if !local.Local || load(local) < overflowLoad {
+		return local.Target
+	}
+	if len(choice.Remote) == 0 {
+		d.probeRemote(ctx, call.Service.Name)
+		return local.Target
+	}
+	remote := choice.Remote[d.Picker.Pick(choice.Remote, call.PrefixKey)]
+	if remote.Latency == 0 {
+		remote.Latency = local.Latency
+	}
+	if expectedWait(local) > overflowFactor*expectedWait(remote) {
+		return remote.Target
+	}
+	return local.Target
 }
 
 // probeRemote asks a few targets of other data centres for their state, which nobody in this one polls.
@@ -210,9 +233,9 @@
 	if call.Sink != nil {
 		a.Sink = sink
 	}
-	d.Table.Start(target.Name)
+	began := d.Table.Start(target.Name)
 	answer, err := d.Client.Do(ctx, a)
-	d.Table.Finish(target.Name, answer, isTargetFault(ctx, err))
+	d.Table.Finish(target.Name, began, answer, isTargetFault(ctx, err))
 	d.Metrics.Attempt(call.Service.Name, result(err))
 	if !IsRunKnownNot(err) {
 		call.Sent = true
--- a/internal/radishtarget/picker.go
+++ b/internal/radishtarget/picker.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync/atomic"
+	"time"
 
 	"radishramp.example/radishramp/pkg/radish"
 )
@@ -45,13 +46,22 @@
 // load is what a VM expects to wait for: its own work plus what others had there at the last report.
 func load(c radish.Candidate) int { return c.InFlight + c.Reported }
 
+// expectedWait is how long a new attempt would take at the target: its latency of late, in proportion to its load.
+func expectedWait(c radish.Candidate) float64 {
+	return float64(load(c)+1) * float64(max(c.Latency, time.Millisecond))
+}
+
+// powerOfTwoPicker takes the better of two random targets.
 type powerOfTwoPicker struct{}
 
 // Pick implements radish.Picker.
 func (powerOfTwoPicker) Pick(candidates []radish.Candidate, _ string) int {
 	a := rand.IntN(len(candidates))
-	b := rand.IntN(len(candidates))
-	if load(candidates[b]) < load(candidates[a]) {
+	if len(candidates) == 1 {
+		return a
+	}
+	b := (a + 1 + rand.IntN(len(candidates)-1)) % len(candidates)
+	if expectedWait(candidates[b]) < expectedWait(candidates[a]) {
 		return b
 	}
 	return a
--- a/internal/radishtarget/table.go
+++ b/internal/radishtarget/table.go
@@ -1,6 +1,7 @@
 package radishtarget
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 // latencyWeight is the weight of the newest answer in the moving average of a target's latency.
 const latencyWeight = 0.1
 
+// latencyHalfLife is how long a target's latency counts in full without new answers.
+const latencyHalfLife = 5 * time.Second
+
 // entry is what the VM knows of one target.
 type entry struct {
 	target    radish.Target
@@ -31,9 +35,13 @@
 	stateSeen time.Time
 	reported  int
 	// teller is the peer that told the state, which its heartbeats renew; "" when this VM saw it itself.
-	teller     string
-	told       radish.TargetState
-	latency    time.Duration
+	teller    string
+	told      radish.TargetState
+	latency   time.Duration
+	latencyAt time.Time
+	// startedSum is the sum of the times since epoch at which the attempts in flight began.
+	startedSum time.Duration
+	epoch      time.Time
 	failures   int
 	ejectUntil time.Time
 }
@@ -108,8 +116,11 @@
 
 // Choice is what the VM may send an attempt to: warm targets freely, cold ones with a permit only.
 type Choice struct {
+	// Warm are targets of the VM's own data centre, or of others when it has none with room.
 	Warm []radish.Candidate
 	Cold []radish.Candidate
+	// Remote are warm targets of other data centres when Warm are of the own one.
+	Remote []radish.Candidate
 }
 
 // Choose returns the targets of the service that may take work, those in exclude left out. Targets of other
@@ -120,10 +131,11 @@
 	now := time.Now()
 	usable := t.usable(service, exclude, now)
 	local := t.split(usable, true, maxInFlight, now)
+	remote := t.split(usable, false, maxInFlight, now)
 	if len(local.Warm) > 0 {
+		local.Remote = remote.Warm
 		return local
 	}
-	remote := t.split(usable, false, maxInFlight, now)
 	return Choice{Warm: remote.Warm, Cold: append(local.Cold, remote.Cold...)}
 }
 
@@ -163,7 +175,7 @@
 		if isLocal != local {
 			continue
 		}
-		c := radish.Candidate{Target: e.target, InFlight: e.inFlight, Reported: e.reported, Local: isLocal, Latency: e.latency}
+		c := radish.Candidate{Target: e.target, InFlight: e.inFlight, Reported: e.reported, Local: isLocal, Latency: e.expectedLatency(now)}
 		switch {
 		case !t.isWarm(e, now):
 			choice.Cold = append(choice.Cold, c)
@@ -187,17 +199,23 @@
 	return e != nil && t.isWarm(e, time.Now())
 }
 
-// Start counts an attempt in flight at the target.
-func (t *Table) Start(name string) {
+// Start counts an attempt in flight at the target and returns when it began, for Finish.
+func (t *Table) Start(name string) time.Time {
+	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.entries[name]; e != nil {
+		if e.inFlight == 0 {
+			e.epoch, e.startedSum = now, 0
+		}
 		e.inFlight++
+		e.startedSum += now.Sub(e.epoch)
 	}
+	return now
 }
 
 // Finish ends an attempt that Start counted, with the answer (nil when there was none) and whether it failed.
-func (t *Table) Finish(name string, answer *radish.Answer, failed bool) {
+func (t *Table) Finish(name string, began time.Time, answer *radish.Answer, failed bool) {
 	t.mu.Lock()
 	e := t.entries[name]
 	if e == nil {
@@ -206,10 +224,11 @@
 	}
 	if e.inFlight > 0 {
 		e.inFlight--
+		e.startedSum -= began.Sub(e.epoch)
 	}
 	e.countFailure(failed)
 	if answer != nil && answer.Took > 0 && !failed {
-		e.latency += time.Duration(latencyWeight * float64(answer.Took-e.latency))
+		e.countLatency(answer.Took)
 	}
 	t.mu.Unlock()
 	if answer != nil && answer.State != radish.TargetUnknown {
@@ -217,6 +236,27 @@
 	}
 }
 
+func (e *entry) countLatency(took time.Duration) {
+	if e.latency == 0 {
+		e.latency = took
+	}
+	e.latency += time.Duration(latencyWeight * float64(took-e.latency))
+	e.latencyAt = time.Now()
+}
+
+// expectedLatency is what the target's answers have taken of late, or twice the mean age of what is in flight when
+// that is more: a target that slows down is seen before its first slow answer.
+func (e *entry) expectedLatency(now time.Time) time.Duration {
+	halves := float64(now.Sub(e.latencyAt)) / float64(latencyHalfLife)
+	// What was measured halves with time, so that a target which was slow is tried again.
+	faded := time.Duration(float64(e.latency) * math.Exp2(-halves))
+	if e.inFlight == 0 {
+		return faded
+	}
+	meanAge := now.Sub(e.epoch) - e.startedSum/time.Duration(e.inFlight)
+	return max(faded, 2*meanAge)
+}
+
 func (e *entry) countFailure(failed bool) {
 	if !failed {
 		e.failures = 0
