Refuse early when a pipeline is congested, before anything ran

Ruled out: refusing by the shortest time that the stages take, which is there and does not move when queues grow.

Change: each VM bounds the requests of a pipeline in flight, up by one for a limit's worth of answers, down to nine tenths when one takes over half its deadline and twice the shortest time. A test found that the first answer of all counted as congestion, and with it a pipeline that always takes most of its deadline was held to 2 requests; the shortest time is now noted first.

--- a/internal/radishburn/burn_test.go
+++ b/internal/radishburn/burn_test.go
@@ -17,12 +17,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		var first, second radishburn.Recorder
 		for range 50 {
-			first.Record("digest", "congress", false, time.Second)
+			first.Record("digest", "congress", false)
 		}
 		time.Sleep(30 * time.Minute)
 		for range 950 {
-			first.Record("digest", "congress", true, time.Second)
-			second.Record("digest", "speakers", true, time.Second)
+			first.Record("digest", "congress", true)
+			second.Record("digest", "speakers", true)
 		}
 		rates := radishburn.Rates([]radishburn.Export{first.Export(), second.Export()}, map[string]float64{"digest": 0.99})
 		want := map[string]float64{"*/5m0s": 0, "*/1h0m0s": 50.0 / 1950 / 0.01, "congress/1h0m0s": 5, "speakers/6h0m0s": 0, "congress/6h0m0s": 5}
--- a/internal/radishburn/recorder.go
+++ b/internal/radishburn/recorder.go
@@ -47,7 +47,7 @@
 }
 
 // Record counts one request.
-func (r *Recorder) Record(pipeline, team string, whole bool, _ time.Duration) {
+func (r *Recorder) Record(pipeline, team string, whole bool) {
 	if r == nil {
 		return
 	}
--- a/internal/radishentry/admission.go
+++ b/internal/radishentry/admission.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"golang.org/x/time/rate"
 
@@ -24,6 +25,8 @@
 	total    int
 	byTeam   map[string]int
 	limiters map[radishrule.LimitKey]*limiter
+	// congested holds the congestion control of each pipeline.
+	congested map[string]*congestion
 }
 
 // limiter enforces one limit rule on this VM.
@@ -49,6 +52,9 @@
 	if float64(a.total) >= pressure*float64(a.MaxInFlight) && a.isOverShare(rules, team) {
 		return fmt.Errorf("%w: team is over its share under load", radish.ErrShed)
 	}
+	if !a.congestionOf(pipeline).enter() {
+		return fmt.Errorf("%w: pipeline %s is congested", radish.ErrShed, pipeline)
+	}
 	a.total++
 	if a.byTeam == nil {
 		a.byTeam = make(map[string]int)
@@ -57,10 +63,23 @@
 	return nil
 }
 
-// Leave ends a request that Enter admitted.
-func (a *Admission) Leave(team *radishrule.Team) {
+func (a *Admission) congestionOf(pipeline string) *congestion {
+	c := a.congested[pipeline]
+	if c == nil {
+		c = &congestion{}
+		if a.congested == nil {
+			a.congested = make(map[string]*congestion)
+		}
+		a.congested[pipeline] = c
+	}
+	return c
+}
+
+// Leave ends a request that Enter admitted and that took so long. A caller's own shorter deadline does not matter.
+func (a *Admission) Leave(team *radishrule.Team, pipeline *radishrule.Pipeline, took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.congestionOf(pipeline.Name).leave(took, pipeline.Deadline)
 	a.total--
 	a.byTeam[team.Name]--
 	if a.byTeam[team.Name] == 0 {
--- /dev/null
+++ b/internal/radishentry/admission_test.go
@@ -0,0 +1,90 @@
+package radishentry
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishrule"
+)
+
+func TestCongestionFollowsAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const deadline = 5 * time.Second
+		c := &congestion{}
+		// A pipeline that always takes most of its deadline is not congested.
+		for range 100 {
+			c.enter()
+			c.leave(4*time.Second, deadline)
+			time.Sleep(time.Second)
+		}
+		if c.limit < congestionStart {
+			t.Errorf("a slow pipeline without congestion is held to %.1f requests", c.limit)
+		}
+		for range 100 {
+			c.enter()
+			c.leave(deadline, deadline)
+			time.Sleep(time.Second)
+		}
+		if c.limit != congestionFloor {
+			t.Errorf("after 100 misses the limit is %.1f, want %d", c.limit, congestionFloor)
+		}
+		for range 200 {
+			for c.enter() {
+			}
+			for c.inFlight > 0 {
+				c.leave(time.Second, deadline)
+			}
+		}
+		if c.limit < congestionStart/4 {
+			t.Errorf("after 200 rounds without congestion the limit is %.1f", c.limit)
+		}
+	})
+}
+
+func TestTeamsAreHeldToTheirShares(t *testing.T) {
+	rules := &radishrule.RuleSet{Teams: map[string]*radishrule.Team{"greedy": {Name: "greedy", Share: 1}, "small": {Name: "small", Share: 1}}}
+	a := &Admission{MaxInFlight: 40, EntryVMs: func() int { return 1 }}
+	if err := a.Enter(rules, rules.Teams["small"], "p"); err != nil {
+		t.Fatal(err)
+	}
+	admitted := 0
+	for range 100 {
+		if a.Enter(rules, rules.Teams["greedy"], "p") == nil {
+			admitted++
+		}
+	}
+	if admitted > 32 {
+		t.Errorf("the greedy team has %d of 40 in flight", admitted)
+	}
+	if err := a.Enter(rules, rules.Teams["small"], "p"); err != nil {
+		t.Errorf("the small team is refused: %v", err)
+	}
+}
+
+func TestLimitIsSharedByEntryVMs(t *testing.T) {
+	team := &radishrule.Team{Name: "roads", Share: 1}
+	rules := &radishrule.RuleSet{
+		Teams:  map[string]*radishrule.Team{"roads": team},
+		Limits: map[radishrule.LimitKey]*radishrule.Limit{{Team: "roads"}: {Team: "roads", RequestsPerSec: 40}},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		a := &Admission{MaxInFlight: 1000, EntryVMs: func() int { return 4 }}
+		admitted := 0
+		for range 1000 {
+			err := a.Enter(rules, team, "p")
+			if err == nil {
+				admitted++
+				a.Leave(team, &radishrule.Pipeline{Name: "p", Deadline: time.Second}, time.Millisecond)
+			} else if !errors.Is(err, radish.ErrShed) {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if admitted < 100 || admitted > 110 {
+			t.Errorf("one of four VMs admitted %d requests in 10 s under a limit of 40/s", admitted)
+		}
+	})
+}
--- /dev/null
+++ b/internal/radishentry/congestion.go
@@ -0,0 +1,84 @@
+package radishentry
+
+import (
+	"sync"
+	"time"
+)
+
+// Congestion control by additive increase and multiplicative decrease.
+const (
+	// congestionStart is the requests of a pipeline that a VM lets in at a time before it knows better.
+	congestionStart = 64
+	congestionFloor = 2
+	// congestionShare is the share of its deadline above which a request's time counts as a sign of congestion.
+	congestionShare = 0.5
+	// congestionCut is what is left of the limit after a sign of congestion.
+	congestionCut = 0.9
+	// congestionPause is the least time between two cuts, as a share of the deadline.
+	congestionPause = 0.1
+	// congestionSlowdown is how many times the shortest time a request must take to count as a sign of congestion.
+	congestionSlowdown = 2
+	// fastestFade moves the shortest time towards each longer one.
+	fastestFade = 0.01
+)
+
+// congestion bounds the requests of one pipeline in flight on this VM. It learns from answers that take a large part of
+// their deadline, before any misses it, so that refusals come before anything ran.
+type congestion struct {
+	mu       sync.Mutex
+	limit    float64
+	inFlight int
+	cutAt    time.Time
+	// fastest is about the shortest time that a request takes.
+	fastest time.Duration
+}
+
+// enter admits a request or returns false.
+func (c *congestion) enter() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limit == 0 {
+		c.limit = congestionStart
+	}
+	if float64(c.inFlight) >= c.limit {
+		return false
+	}
+	c.inFlight++
+	return true
+}
+
+// leave ends a request that took so long of its pipeline's deadline.
+func (c *congestion) leave(took, deadline time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isFull := float64(c.inFlight) >= c.limit/2
+	c.inFlight--
+	if c.fastest == 0 || took < c.fastest {
+		c.fastest = took
+	}
+	if c.isCongested(took, deadline) {
+		c.cut(deadline)
+		return
+	}
+	c.fastest += time.Duration(fastestFade * float64(took-c.fastest))
+	if isFull {
+		c.limit += 1 / c.limit
+	}
+}
+
+// isCongested leaves out pipelines whose requests take most of their deadline at any load.
+func (c *congestion) isCongested(took, deadline time.Duration) bool {
+	if took >= deadline {
+		return true
+	}
+	return float64(took) > congestionShare*float64(deadline) && took > congestionSlowdown*c.fastest
+}
+
+func (c *congestion) cut(deadline time.Duration) {
+	now := time.Now()
+	if now.Sub(c.cutAt) < time.Duration(congestionPause*float64(deadline)) {
+		return
+	}
+	c.limit = max(congestionFloor, c.limit*congestionCut)
+	c.cutAt = now
+}
--- a/internal/radishentry/handler.go
+++ b/internal/radishentry/handler.go
@@ -82,7 +82,7 @@
 		e.record(c, problem, time.Since(start))
 		return
 	}
-	defer e.Admission.Leave(c.team)
+	defer func() { e.Admission.Leave(c.team, c.request.Pipeline, time.Since(start)) }()
 	ctx, cancel := context.WithDeadline(r.Context(), start.Add(c.deadline))
 	defer cancel()
 	problem = e.answer(ctx, w, c)
@@ -123,7 +123,7 @@
 	}
 	e.Metrics.Request(c.request.Pipeline.Name, outcome, took)
 	if problem == nil || problem.Status >= 500 || problem.Status == http.StatusTooManyRequests || problem.Status == http.StatusConflict {
-		e.Burn.Record(c.request.Pipeline.Name, c.request.Team, problem == nil, took)
+		e.Burn.Record(c.request.Pipeline.Name, c.request.Team, problem == nil)
 	}
 }
 
