--- a/internal/radishserve/answer_test.go
+++ b/internal/radishserve/answer_test.go
@@ -14,10 +14,7 @@
 // TestAnswersAreWholeAndOwn lets half of the targets cross and cut answers, within the retry budget: callers get whole answers to their own
 // requests all the same, since attempts carry ids and others' answers are dropped.
 func TestAnswersAreWholeAndOwn(t *testing.T) {
-	fault := inBubble(t, func(t *testing.T) string {
-		c := newCluster(t, "bandung")
-		defer c.close()
-		time.Sleep(settlingTime)
+	prove(t, []string{"bandung"}, func(c *cluster) string {
 		since := time.Now()
 		for i, target := range c.targets {
 			if i%2 == 1 {
@@ -35,18 +32,12 @@
 		}
 		return c.check()
 	})
-	if fault != "" {
-		t.Fatal(fault)
-	}
 }
 
 // TestNotRunIsTrue brings about each kind of refusal and compares it with what ran.
 func TestNotRunIsTrue(t *testing.T) {
-	fault := inBubble(t, func(t *testing.T) string {
-		c := newCluster(t, "bandung")
-		defer c.close()
-		time.Sleep(settlingTime)
-		seat := func() answer { return c.send(c.vms[0], "seat", uuidAt(time.Now()).String()) }
+	prove(t, []string{"bandung"}, func(c *cluster) string {
+		seat := func() answer { return c.send(c.vms[0], "seat", radishstandin.KeyAt(time.Now()).String()) }
 		c.platform.SetFaults(radishstandin.Faults{Outage: true})
 		if a := seat(); a.ran != radishentry.RanNot {
 			return fmt.Sprintf("in a platform outage: %d ran %s", a.status, a.ran)
@@ -59,7 +50,7 @@
 		c.fleet.SetCut("booking-bandung", false)
 		time.Sleep(settlingTime)
 		c.fleet.Target("booking-bandung").SetFaults(radishstandin.TargetFaults{CutEvery: 1})
-		key := uuidAt(time.Now()).String()
+		key := radishstandin.KeyAt(time.Now()).String()
 		if a := c.send(c.vms[0], "seat", key); a.ran != radishentry.RanUnknown || a.effect != radishentry.EffectPossible {
 			return fmt.Sprintf("with the answer cut: %d ran %s", a.status, a.ran)
 		}
@@ -69,18 +60,12 @@
 		}
 		return c.check()
 	})
-	if fault != "" {
-		t.Fatal(fault)
-	}
 }
 
 // TestRetryGetsTheRecordedAnswer sends a booking to one VM and its retries to all others.
 func TestRetryGetsTheRecordedAnswer(t *testing.T) {
-	fault := inBubble(t, func(t *testing.T) string {
-		c := newCluster(t, "bandung", "semarang")
-		defer c.close()
-		time.Sleep(settlingTime)
-		key := uuidAt(time.Now()).String()
+	prove(t, []string{"bandung", "semarang"}, func(c *cluster) string {
+		key := radishstandin.KeyAt(time.Now()).String()
 		first := c.send(c.vms[0], "seat", key)
 		for _, v := range c.vms {
 			if a := c.send(v, "seat", key); a.status != http.StatusOK || a.body != first.body {
@@ -89,7 +74,4 @@
 		}
 		return c.check()
 	})
-	if fault != "" {
-		t.Fatal(fault)
-	}
 }
--- a/internal/radishserve/cluster_test.go
+++ b/internal/radishserve/cluster_test.go
@@ -17,7 +17,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
 	"radishramp.example/radishramp/internal/radishentry"
@@ -222,7 +221,7 @@
 			continue
 		}
 		if rng.IntN(3) == 0 {
-			key := uuidAt(time.Now()).String()
+			key := radishstandin.KeyAt(time.Now()).String()
 			c.calls.Go(func() { c.send(v, "seat", key) })
 			if rng.IntN(2) == 0 {
 				other := c.vms[rng.IntN(len(c.vms))]
@@ -234,16 +233,6 @@
 	}
 }
 
-func uuidAt(t time.Time) uuid.UUID {
-	id := uuid.New()
-	ms := t.UnixMilli()
-	for i := range 6 {
-		id[i] = byte(ms >> (40 - 8*i))
-	}
-	id[6] = id[6]&0x0f | 0x70
-	return id
-}
-
 // check returns the first promise that the answers and the targets show to be broken.
 func (c *cluster) check() string {
 	ran := make(map[string]int)
@@ -294,6 +283,20 @@
 	return ""
 }
 
+// prove runs a test against a settled cluster on a paused clock and fails with the broken promise that it returns.
+func prove(t *testing.T, dataCentres []string, test func(c *cluster) string) {
+	t.Helper()
+	fault := inBubble(t, func(t *testing.T) string {
+		c := newCluster(t, dataCentres...)
+		defer c.close()
+		time.Sleep(settlingTime)
+		return test(c)
+	})
+	if fault != "" {
+		t.Fatal(fault)
+	}
+}
+
 // inBubble runs the test on a paused clock and reports what it returns.
 func inBubble(t *testing.T, test func(t *testing.T) string) (fault string) {
 	t.Helper()
--- a/internal/radishserve/cold_test.go
+++ b/internal/radishserve/cold_test.go
@@ -46,7 +46,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(40 * time.Millisecond) {
 		v := c.vms[rng.IntN(len(c.vms))]
 		if v.server.isReady() {
-			c.calls.Go(func() { c.send(v, "seat", uuidAt(time.Now()).String()) })
+			c.calls.Go(func() { c.send(v, "seat", radishstandin.KeyAt(time.Now()).String()) })
 		}
 	}
 }
--- a/internal/radishserve/config_test.go
+++ b/internal/radishserve/config_test.go
@@ -39,10 +39,7 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			fault := inBubble(t, func(t *testing.T) string {
-				cl := newCluster(t, "bandung", "semarang")
-				defer cl.close()
-				time.Sleep(settlingTime)
+			prove(t, []string{"bandung", "semarang"}, func(cl *cluster) string {
 				cl.platform.SetFaults(c.faults)
 				if c.before != nil {
 					c.before(cl)
@@ -51,19 +48,13 @@
 				time.Sleep(inForceTime)
 				return cl.behind(2)
 			})
-			if fault != "" {
-				t.Fatal(fault)
-			}
 		})
 	}
 }
 
 // TestNewVMLearnsFromPeers starts a replacement VM during an outage of the platform: its peers give it the rules.
 func TestNewVMLearnsFromPeers(t *testing.T) {
-	fault := inBubble(t, func(t *testing.T) string {
-		c := newCluster(t, "bandung")
-		defer c.close()
-		time.Sleep(settlingTime)
+	prove(t, []string{"bandung"}, func(c *cluster) string {
 		c.platform.SetFaults(radishstandin.Faults{Outage: true})
 		c.vms[1].stop()
 		c.addVM("bandung-9", "bandung", []string{"bandung-0:3", "bandung-2:3"})
@@ -76,7 +67,4 @@
 		}
 		return ""
 	})
-	if fault != "" {
-		t.Fatal(fault)
-	}
 }
--- a/internal/radishserve/leaving_test.go
+++ b/internal/radishserve/leaving_test.go
@@ -57,10 +57,7 @@
 		{"target says leaving", func(c *cluster) { c.fleet.Target("llm-semarang-0").SetLeaving(true) }, "llm-semarang-0"},
 	} {
 		t.Run(route.name, func(t *testing.T) {
-			fault := inBubble(t, func(t *testing.T) string {
-				c := newCluster(t, "bandung", "semarang")
-				defer c.close()
-				time.Sleep(settlingTime)
+			prove(t, []string{"bandung", "semarang"}, func(c *cluster) string {
 				taken := time.Now()
 				go route.take(c)
 				c.load(rand.New(rand.NewPCG(2, 1)), 10*time.Second, 25*time.Millisecond)
@@ -70,9 +67,6 @@
 				}
 				return c.check()
 			})
-			if fault != "" {
-				t.Fatal(fault)
-			}
 		})
 	}
 }
@@ -87,10 +81,7 @@
 
 // TestGracefulStopCutsNothing stops every VM in turn under load: no accepted request is cut.
 func TestGracefulStopCutsNothing(t *testing.T) {
-	fault := inBubble(t, func(t *testing.T) string {
-		c := newCluster(t, "bandung", "semarang")
-		defer c.close()
-		time.Sleep(settlingTime)
+	prove(t, []string{"bandung", "semarang"}, func(c *cluster) string {
 		since := time.Now()
 		rng := rand.New(rand.NewPCG(5, 5))
 		for _, v := range c.vms[:5] {
@@ -103,17 +94,11 @@
 		}
 		return c.check()
 	})
-	if fault != "" {
-		t.Fatal(fault)
-	}
 }
 
 // TestDataCentreReturns drains a data centre, turns its targets cold meanwhile and brings it back under load.
 func TestDataCentreReturns(t *testing.T) {
-	fault := inBubble(t, func(t *testing.T) string {
-		c := newCluster(t, "bandung", "semarang")
-		defer c.close()
-		time.Sleep(settlingTime)
+	prove(t, []string{"bandung", "semarang"}, func(c *cluster) string {
 		rng := rand.New(rand.NewPCG(6, 6))
 		since := time.Now()
 		c.apply(1, rulesText("drain data_centre=semarang # test\n"))
@@ -136,7 +121,4 @@
 		}
 		return c.check()
 	})
-	if fault != "" {
-		t.Fatal(fault)
-	}
 }
--- a/internal/radishserve/promise_test.go
+++ b/internal/radishserve/promise_test.go
@@ -9,10 +9,7 @@
 )
 
 func TestClusterServes(t *testing.T) {
-	fault := inBubble(t, func(t *testing.T) string {
-		c := newCluster(t, "bandung", "semarang")
-		defer c.close()
-		time.Sleep(settlingTime)
+	prove(t, []string{"bandung", "semarang"}, func(c *cluster) string {
 		c.load(rand.New(rand.NewPCG(1, 1)), 10*time.Second, 20*time.Millisecond)
 		c.calls.Wait()
 		for _, a := range c.answers {
@@ -23,16 +20,10 @@
 		t.Logf("%d answered", c.answered)
 		return c.check()
 	})
-	if fault != "" {
-		t.Fatal(fault)
-	}
 }
 
 func TestDrainedDataCentreGetsNoNewWork(t *testing.T) {
-	fault := inBubble(t, func(t *testing.T) string {
-		c := newCluster(t, "bandung", "semarang")
-		defer c.close()
-		time.Sleep(settlingTime)
+	prove(t, []string{"bandung", "semarang"}, func(c *cluster) string {
 		go c.apply(1, rulesText("drain data_centre=semarang # test\n"))
 		c.load(rand.New(rand.NewPCG(2, 1)), 10*time.Second, 20*time.Millisecond)
 		c.calls.Wait()
@@ -44,7 +35,4 @@
 		}
 		return c.check()
 	})
-	if fault != "" {
-		t.Fatal(fault)
-	}
 }
--- a/internal/radishserve/server.go
+++ b/internal/radishserve/server.go
@@ -116,9 +116,6 @@
 // PeerTraffic returns the bytes sent and received over the peer links so far.
 func (s *Server) PeerTraffic() (sent, received int64) { return s.node.Traffic() }
 
-// Generation returns the generation of the configuration in force, 0 before the first.
-func (s *Server) Generation() uint64 { return s.holder.Generation() }
-
 // CallerHandler serves callers in the same process, after Build.
 func (s *Server) CallerHandler() http.Handler { return s.entry.Handler() }
 
--- a/internal/radishsetting/load.go
+++ b/internal/radishsetting/load.go
@@ -218,9 +218,3 @@
 	}
 	return 1
 }
-
-// Has tells whether the text holds a value at the JSON pointer.
-func Has(text []byte, pointer string) bool {
-	tree, err := hujson.Parse(text)
-	return err == nil && tree.Find(pointer) != nil
-}
--- a/internal/radishsetting/load_test.go
+++ b/internal/radishsetting/load_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/tailscale/hujson"
 
 	_ "radishramp.example/radishramp/internal/radishtarget"
 
@@ -36,6 +37,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	tree, err := hujson.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
 	want := radishsetting.Default()
 	want.Peer.Seeds = got.Peer.Seeds
 	if !reflect.DeepEqual(got, want) {
@@ -45,7 +50,7 @@
 		section := reflect.TypeFor[radishsetting.Settings]().Field(i)
 		for j := range section.Type.NumField() {
 			pointer := "/" + section.Tag.Get("setting") + "/" + section.Type.Field(j).Tag.Get("setting")
-			if !radishsetting.Has(text, pointer) {
+			if tree.Find(pointer) == nil {
 				t.Errorf("the example lacks %s", pointer)
 			}
 		}
--- /dev/null
+++ b/internal/radishstandin/key.go
@@ -0,0 +1,18 @@
+package radishstandin
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// KeyAt returns a version 7 UUID made at the time, as on a paused clock that the UUID library does not follow.
+func KeyAt(t time.Time) uuid.UUID {
+	id := uuid.New()
+	ms := t.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	id[6] = id[6]&0x0f | 0x70
+	return id
+}
--- a/internal/radishstandin/platform.go
+++ b/internal/radishstandin/platform.go
@@ -65,13 +65,6 @@
 	p.vms[vm.Name] = vm
 }
 
-// RemoveVM removes an entry from the list of VMs.
-func (p *Platform) RemoveVM(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.vms, name)
-}
-
 // Counts are the calls that a Platform has seen.
 type Counts struct {
 	Reads   int `json:"reads"`
--- a/internal/radishtarget/table.go
+++ b/internal/radishtarget/table.go
@@ -301,16 +301,6 @@
 	}
 }
 
-// Known returns the last state that was observed of the target; radish.TargetUnknown when there is none.
-func (t *Table) Known(name string) radish.TargetState {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.entries[name]; e != nil {
-		return e.state
-	}
-	return radish.TargetUnknown
-}
-
 // RemoteTargets returns up to n targets of the service in other data centres that may take work.
 func (t *Table) RemoteTargets(service string, n int) []radish.Target {
 	t.mu.Lock()
--- a/pkg/radishclaim/fuzz_test.go
+++ b/pkg/radishclaim/fuzz_test.go
@@ -127,22 +127,11 @@
 		})
 	}
 	for range fuzzKeys {
-		w.keys = append(w.keys, uuidAt(time.Now()))
+		w.keys = append(w.keys, radishstandin.KeyAt(time.Now()))
 	}
 	return w
 }
 
-// uuidAt makes a version 7 UUID whose time is that of the bubble's clock.
-func uuidAt(t time.Time) uuid.UUID {
-	id := uuid.New()
-	ms := t.UnixMilli()
-	for i := range 6 {
-		id[i] = byte(ms >> (40 - 8*i))
-	}
-	id[6] = id[6]&0x0f | 0x70
-	return id
-}
-
 // call is what an entry VM does with one request of a caller.
 func (w *world) call(n int, s step) {
 	id := fmt.Sprintf("call-%d", n)
--- a/pkg/radishclaim/ledger_test.go
+++ b/pkg/radishclaim/ledger_test.go
@@ -149,7 +149,7 @@
 			{"clock ahead", 30 * time.Second, nil},
 			{"from the future", 2 * time.Minute, radish.ErrBadKey},
 		} {
-			if err := radishclaim.CheckAge(uuidAt(time.Now().Add(c.made)), time.Hour); !errors.Is(err, c.want) {
+			if err := radishclaim.CheckAge(radishstandin.KeyAt(time.Now().Add(c.made)), time.Hour); !errors.Is(err, c.want) {
 				t.Errorf("%s: got %v, want %v", c.name, err, c.want)
 			}
 		}
--- a/pkg/radishpermit/steward.go
+++ b/pkg/radishpermit/steward.go
@@ -170,11 +170,3 @@
 		delete(s.outstanding[target], id)
 	}
 }
-
-// Outstanding returns the number of permits at the target that have not ended.
-func (s *Steward) Outstanding(target string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire(target, time.Now())
-	return len(s.outstanding[target])
-}
--- a/pkg/radishrule/rule_set.go
+++ b/pkg/radishrule/rule_set.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -22,12 +21,6 @@
 	return l.Text == other.Text && l.Comment == other.Comment
 }
 
-// Kind returns the first word of the line.
-func (l Line) Kind() string {
-	kind, _, _ := strings.Cut(strings.TrimSpace(l.Text), " ")
-	return kind
-}
-
 // Stage is one stage of a pipeline.
 type Stage struct {
 	Kind    string
