--- a/Makefile
+++ b/Makefile
@@ -50,5 +50,5 @@
 	go run ./tools/slopes
 
 measure: ## Compare the policies in scenarios of load and faults; JSON lines, and a table on standard error.
-	go test -c -o bin/measure.test ./internal/radishserve
-	cd internal/radishserve && ../../bin/measure.test -test.run '^TestMeasure$$' -measure.seeds=5 | grep '^{'
+	@go test -c -o bin/measure.test ./internal/radishserve
+	@cd internal/radishserve && ../../bin/measure.test -test.run '^TestMeasure$$' -measure.seeds=5 | grep '^{'
--- /dev/null
+++ b/internal/radishentry/handler_test.go
@@ -0,0 +1,136 @@
+package radishentry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"radishramp.example/radishramp/internal/radishpipeline"
+	"radishramp.example/radishramp/internal/radishtarget"
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishrule"
+)
+
+// SHA-256 of "secret".
+const secretSHA256 = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+
+const handlerRules = `
+service name=llm # test
+service name=booking idempotent=false # test
+pipeline name=report stages=generate/llm deadline=1s # test
+pipeline name=seat stages=call/booking deadline=1s # test
+team name=roads token_sha256=` + secretSHA256 + ` # test
+`
+
+// countingDispatcher answers at once and counts.
+type countingDispatcher struct{ calls int }
+
+// Do implements radishpipeline.StageDispatcher.
+func (d *countingDispatcher) Do(_ context.Context, call *radishtarget.StageCall) (*radish.Answer, error) {
+	d.calls++
+	call.Sent = true
+	return &radish.Answer{Body: []byte(`{"done":true}`)}, nil
+}
+
+func newEntry(t *testing.T, d *countingDispatcher) *Entry {
+	t.Helper()
+	rules, err := radishrule.Parse(handlerRules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Entry{
+		Runner:    &radishpipeline.Runner{Dispatcher: d},
+		Admission: &Admission{MaxInFlight: 10, EntryVMs: func() int { return 1 }},
+		Rules:     func() *radishrule.RuleSet { return rules }, IsReady: func() bool { return true }, MaxBodyBytes: 100,
+	}
+}
+
+func TestBadInputIsRefusedAsNotRun(t *testing.T) {
+	for _, c := range []struct {
+		name, pipeline, body string
+		header               map[string]string
+		status               int
+		field                string
+	}{
+		{"no token", "report", `{}`, map[string]string{"Authorization": ""}, 401, "Authorization"},
+		{"unknown token", "report", `{}`, map[string]string{"Authorization": "Bearer guess"}, 401, "Authorization"},
+		{"unknown pipeline", "nothing", `{}`, nil, 404, "pipeline"},
+		{"deadline not a number", "report", `{}`, map[string]string{"Deadline-Ms": "soon"}, 400, "Deadline-Ms"},
+		{"deadline of zero", "report", `{}`, map[string]string{"Deadline-Ms": "0"}, 400, "Deadline-Ms"},
+		{"order without a key", "seat", `{}`, nil, 400, "Idempotency-Key"},
+		{"order with a random key", "seat", `{}`, map[string]string{"Idempotency-Key": "9f0c2a52-8a53-4e2f-9d51-3b6f0f6b2f55"}, 400, "Idempotency-Key"},
+		{"body not JSON", "report", `{`, nil, 400, "body"},
+		{"empty body", "report", ``, nil, 400, "body"},
+		{"body too large", "report", `"` + strings.Repeat("x", 200) + `"`, nil, 413, "body"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := &countingDispatcher{}
+			r := httptest.NewRequest(http.MethodPost, "/v1/pipelines/"+c.pipeline, strings.NewReader(c.body))
+			r.Header.Set("Authorization", "Bearer secret")
+			for name, value := range c.header {
+				r.Header.Set(name, value)
+			}
+			w := httptest.NewRecorder()
+			newEntry(t, d).Handler().ServeHTTP(w, r)
+			var p Problem
+			if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil {
+				t.Fatalf("%v: %s", err, w.Body)
+			}
+			if w.Code != c.status || p.Field != c.field || p.Ran != RanNot || p.Effect != EffectNone || p.Detail == "" || p.RequestID == "" {
+				t.Errorf("got %d %+v, want %d for field %s", w.Code, p, c.status, c.field)
+			}
+			if d.calls != 0 {
+				t.Error("a stage ran")
+			}
+		})
+	}
+}
+
+func TestAnswersByMediaType(t *testing.T) {
+	for accept, want := range map[string]string{
+		"application/json":  `{"done":true}`,
+		"text/event-stream": "data: {\"done\":true}\n\nevent: end\n",
+	} {
+		r := httptest.NewRequest(http.MethodPost, "/v1/pipelines/report", strings.NewReader(`{}`))
+		r.Header.Set("Authorization", "Bearer secret")
+		r.Header.Set("Accept", accept)
+		w := httptest.NewRecorder()
+		newEntry(t, &countingDispatcher{}).Handler().ServeHTTP(w, r)
+		if w.Code != http.StatusOK || !strings.HasPrefix(w.Body.String(), want) {
+			t.Errorf("%s: got %d %q, want %q", accept, w.Code, w.Body, want)
+		}
+	}
+}
+
+func FuzzRequest(f *testing.F) {
+	f.Add("report", `{"q":1}`, "Bearer secret", "1000", "", "text/event-stream")
+	f.Add("seat", `{}`, "Bearer secret", "-1", "0197a5b0-0000-7000-8000-000000000000", "")
+	f.Fuzz(func(t *testing.T, pipeline, body, token, deadline, key, accept string) {
+		if strings.ContainsAny(pipeline, "/?#% ") || !isPrintable(pipeline) || pipeline == "" || pipeline == "seat" {
+			return
+		}
+		r := httptest.NewRequest(http.MethodPost, "/v1/pipelines/"+pipeline, strings.NewReader(body))
+		r.Header.Set("Authorization", token)
+		r.Header.Set(HeaderDeadline, deadline)
+		r.Header.Set(HeaderIdempotencyKey, key)
+		r.Header.Set("Accept", accept)
+		w := httptest.NewRecorder()
+		d := &countingDispatcher{}
+		newEntry(t, d).Handler().ServeHTTP(w, r)
+		if w.Code != http.StatusOK && d.calls > 0 && strings.Contains(w.Body.String(), string(RanNot)) {
+			t.Fatalf("a request that ran was refused as not run: %s", w.Body)
+		}
+	})
+}
+
+func isPrintable(s string) bool {
+	for _, r := range s {
+		if r <= ' ' || r > '~' {
+			return false
+		}
+	}
+	return true
+}
