Hold a greedy team to its share of a congested pipeline

Cause: congestion control refused whoever came next, whatever its team: a team that sent 170 % of the capacity took the others' places, as a new scenario of make measure showed.

Ruled out: the shares of the VM's bound on all requests, which is far above what a congested pipeline lets in.

Change: a team within its share of the pipeline's bound always enters; one above it enters only up to four fifths.

--- a/internal/radishentry/admission.go
+++ b/internal/radishentry/admission.go
@@ -52,7 +52,7 @@
 	if float64(a.total) >= pressure*float64(a.MaxInFlight) && a.isOverShare(rules, team) {
 		return fmt.Errorf("%w: team is over its share under load", radish.ErrShed)
 	}
-	if !a.congestionOf(pipeline).enter() {
+	if !a.congestionOf(pipeline).enter(rules, team) {
 		return fmt.Errorf("%w: pipeline %s is congested", radish.ErrShed, pipeline)
 	}
 	a.total++
@@ -79,7 +79,7 @@
 func (a *Admission) Leave(team *radishrule.Team, pipeline *radishrule.Pipeline, took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.congestionOf(pipeline.Name).leave(took, pipeline.Deadline)
+	a.congestionOf(pipeline.Name).leave(team.Name, took, pipeline.Deadline)
 	a.total--
 	a.byTeam[team.Name]--
 	if a.byTeam[team.Name] == 0 {
@@ -119,12 +119,16 @@
 
 // isOverShare tells whether the team has more in flight than its share among the teams that are active now.
 func (a *Admission) isOverShare(rules *radishrule.RuleSet, team *radishrule.Team) bool {
+	return float64(a.byTeam[team.Name]) >= fairShare(rules, team, a.byTeam, float64(a.MaxInFlight))
+}
+
+// fairShare returns the team's part of the total by its share among the teams that have requests in flight.
+func fairShare(rules *radishrule.RuleSet, team *radishrule.Team, active map[string]int, total float64) float64 {
 	shares := team.Share
-	for name := range a.byTeam {
+	for name := range active {
 		if t, ok := rules.Teams[name]; ok && name != team.Name {
 			shares += t.Share
 		}
 	}
-	fair := float64(a.MaxInFlight) * float64(team.Share) / float64(shares)
-	return float64(a.byTeam[team.Name]) >= fair
+	return total * float64(team.Share) / float64(shares)
 }
--- a/internal/radishentry/admission_test.go
+++ b/internal/radishentry/admission_test.go
@@ -14,28 +14,30 @@
 	synctest.Test(t, func(t *testing.T) {
 		const deadline = 5 * time.Second
 		c := &congestion{}
+		team := &radishrule.Team{Name: "roads", Share: 1}
+		rules := &radishrule.RuleSet{Teams: map[string]*radishrule.Team{"roads": team}}
 		// A pipeline that always takes most of its deadline is not congested.
 		for range 100 {
-			c.enter()
-			c.leave(4*time.Second, deadline)
+			c.enter(rules, team)
+			c.leave(team.Name, 4*time.Second, deadline)
 			time.Sleep(time.Second)
 		}
 		if c.limit < congestionStart {
 			t.Errorf("a slow pipeline without congestion is held to %.1f requests", c.limit)
 		}
 		for range 100 {
-			c.enter()
-			c.leave(deadline, deadline)
+			c.enter(rules, team)
+			c.leave(team.Name, deadline, deadline)
 			time.Sleep(time.Second)
 		}
 		if c.limit != congestionFloor {
 			t.Errorf("after 100 misses the limit is %.1f, want %d", c.limit, congestionFloor)
 		}
 		for range 200 {
-			for c.enter() {
+			for c.enter(rules, team) {
 			}
 			for c.inFlight > 0 {
-				c.leave(time.Second, deadline)
+				c.leave(team.Name, time.Second, deadline)
 			}
 		}
 		if c.limit < congestionStart/4 {
--- a/internal/radishentry/congestion.go
+++ b/internal/radishentry/congestion.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"radishramp.example/radishramp/pkg/radishrule"
 )
 
 // Congestion control by additive increase and multiplicative decrease.
@@ -28,31 +30,49 @@
 	mu       sync.Mutex
 	limit    float64
 	inFlight int
+	byTeam   map[string]int
 	cutAt    time.Time
 	// fastest is about the shortest time that a request takes.
 	fastest time.Duration
 }
 
-// enter admits a request or returns false.
-func (c *congestion) enter() bool {
+// enter admits a request of the team or returns false. A team within its share of the limit always enters; one above
+// it enters while a part of the limit is left for the others.
+func (c *congestion) enter(rules *radishrule.RuleSet, team *radishrule.Team) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.limit == 0 {
 		c.limit = congestionStart
+		c.byTeam = make(map[string]int)
 	}
-	if float64(c.inFlight) >= c.limit {
+	fair := fairShare(rules, team, c.byTeam, c.limit)
+	if float64(c.byTeam[team.Name]) >= fair && float64(c.inFlight) >= c.roomAbove(fair) {
 		return false
 	}
 	c.inFlight++
+	c.byTeam[team.Name]++
 	return true
 }
 
-// leave ends a request that took so long of its pipeline's deadline.
-func (c *congestion) leave(took, deadline time.Duration) {
+// roomAbove is up to how many requests in all a team above its share may enter: the whole limit when no other team is
+// active, a part of it otherwise.
+func (c *congestion) roomAbove(fair float64) float64 {
+	if fair >= c.limit {
+		return c.limit
+	}
+	return pressure * c.limit
+}
+
+// leave ends a request of the team that took so long of its pipeline's deadline.
+func (c *congestion) leave(team string, took, deadline time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isFull := float64(c.inFlight) >= c.limit/2
 	c.inFlight--
+	c.byTeam[team]--
+	if c.byTeam[team] <= 0 {
+		delete(c.byTeam, team)
+	}
 	if c.fastest == 0 || took < c.fastest {
 		c.fastest = took
 	}
--- a/internal/radishserve/cluster_test.go
+++ b/internal/radishserve/cluster_test.go
@@ -29,6 +29,7 @@
 
 const (
 	testToken     = "test-token"
+	greedyToken   = "greedy-token"
 	testDeadline  = 3 * time.Second
 	testNotice    = 4 * time.Second
 	coldBears     = 2
@@ -45,11 +46,13 @@
 pipeline name=digest stages=encode/encoder,generate/llm deadline=3s # test
 pipeline name=seat stages=call/booking deadline=3s # test
 team name=congress token_sha256=%s # test
+team name=greedy token_sha256=%s # test
 `
 
 func rulesText(extra string) string {
 	sum := sha256.Sum256([]byte(testToken))
-	return fmt.Sprintf(testRules, hex.EncodeToString(sum[:])) + extra
+	greedy := sha256.Sum256([]byte(greedyToken))
+	return fmt.Sprintf(testRules, hex.EncodeToString(sum[:]), hex.EncodeToString(greedy[:])) + extra
 }
 
 // vm is one entry VM of a test cluster.
@@ -90,6 +93,8 @@
 	key     string
 	took    time.Duration
 	entered time.Time
+	// isGreedy tells that the greedy team sent the request.
+	isGreedy bool
 }
 
 func newCluster(t *testing.T, dataCentres ...string) *cluster {
@@ -185,10 +190,14 @@
 
 // send sends one request to the VM and records the answer.
 func (c *cluster) send(v *vm, pipeline, key string) answer {
+	return c.sendAs(testToken, v, pipeline, key)
+}
+
+func (c *cluster) sendAs(token string, v *vm, pipeline, key string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
 	defer cancel()
 	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/pipelines/"+pipeline, strings.NewReader(`{"q":1}`))
-	r.Header.Set("Authorization", "Bearer "+testToken)
+	r.Header.Set("Authorization", "Bearer "+token)
 	if key != "" {
 		r.Header.Set(radishentry.HeaderIdempotencyKey, key)
 	}
@@ -197,7 +206,7 @@
 	v.server.CallerHandler().ServeHTTP(w, r)
 	a := answer{
 		status: w.Code, id: w.Header().Get(radishentry.HeaderRequestID), body: w.Body.String(), key: key,
-		took: time.Since(began), entered: began,
+		took: time.Since(began), entered: began, isGreedy: token == greedyToken,
 	}
 	var problem radishentry.Problem
 	if w.Code != http.StatusOK {
--- a/internal/radishserve/measure_test.go
+++ b/internal/radishserve/measure_test.go
@@ -29,6 +29,9 @@
 	usualGap    = time.Second / 224
 	movingGap   = time.Second / 112
 	overloadGap = time.Second / 640
+	// modestGap is the mean gap at 30 % of the capacity, greedyGap at 170 %.
+	modestGap = time.Second / 96
+	greedyGap = time.Second / 544
 )
 
 // measurement is one line of make measure.
@@ -52,26 +55,29 @@
 	name  string
 	gap   time.Duration
 	cause func(c *cluster)
+	// greedyGap is the mean gap between requests of a greedy team, which is not counted; 0 for none.
+	greedyGap time.Duration
 }
 
 var scenarios = []scenario{
-	{"steady", usualGap, func(*cluster) {}},
-	{"one_slow_target", usualGap, func(c *cluster) {
+	{name: "steady", gap: usualGap, cause: func(*cluster) {}},
+	{name: "one_slow_target", gap: usualGap, cause: func(c *cluster) {
 		c.targets[2].SetFaults(radishstandin.TargetFaults{SlowByMS: 1500})
 	}},
-	{"failing_target", usualGap, func(c *cluster) {
+	{name: "failing_target", gap: usualGap, cause: func(c *cluster) {
 		c.targets[2].SetFaults(radishstandin.TargetFaults{FailEvery: 1})
 	}},
-	{"cold_target", usualGap, func(c *cluster) { c.targets[2].TurnCold(8 * time.Second) }},
-	{"platform_outage", usualGap, func(c *cluster) {
+	{name: "cold_target", gap: usualGap, cause: func(c *cluster) { c.targets[2].TurnCold(8 * time.Second) }},
+	{name: "platform_outage", gap: usualGap, cause: func(c *cluster) {
 		c.platform.SetFaults(radishstandin.Faults{Outage: true})
 	}},
-	{"data_centre_leaves_and_returns", movingGap, func(c *cluster) {
+	{name: "data_centre_leaves_and_returns", gap: movingGap, cause: func(c *cluster) {
 		_ = c.tryApply(1, rulesText("drain data_centre=semarang # test\n"))
 		time.Sleep(7 * time.Second)
 		_ = c.tryApply(2, rulesText(""))
 	}},
-	{"overload", overloadGap, func(*cluster) {}},
+	{name: "greedy_team", gap: modestGap, greedyGap: greedyGap, cause: func(*cluster) {}},
+	{name: "overload", gap: overloadGap, cause: func(*cluster) {}},
 }
 
 // TestMeasure prints the measurements of every scenario, policy and seed.
@@ -122,11 +128,10 @@
 			time.Sleep(measureTime / 4)
 			s.cause(c)
 		})
-		rng := rand.New(rand.NewPCG(uint64(seed), 1))
-		for end := time.Now().Add(measureTime); time.Now().Before(end); time.Sleep(time.Duration(rng.ExpFloat64() * float64(s.gap))) {
-			v := c.vms[rng.IntN(len(c.vms))]
-			c.calls.Go(func() { c.send(v, "digest", "") })
+		if s.greedyGap > 0 {
+			c.calls.Go(func() { c.arrive(greedyToken, uint64(seed)+100, s.greedyGap) })
 		}
+		c.arrive(testToken, uint64(seed), s.gap)
 		c.calls.Wait()
 		m = c.evaluate()
 		return ""
@@ -135,12 +140,26 @@
 	return m
 }
 
+// arrive sends a team's requests to random VMs at random times with the mean gap.
+func (c *cluster) arrive(token string, seed uint64, gap time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for end := time.Now().Add(measureTime); time.Now().Before(end); time.Sleep(time.Duration(rng.ExpFloat64() * float64(gap))) {
+		v := c.vms[rng.IntN(len(c.vms))]
+		c.calls.Go(func() { c.sendAs(token, v, "digest", "") })
+	}
+}
+
 // evaluate counts the answers; a stage is wasted when its request was not answered whole.
 func (c *cluster) evaluate() measurement {
-	m := measurement{Sent: len(c.answers), CostByStage: make(map[string]float64)}
+	m := measurement{CostByStage: make(map[string]float64)}
 	whole := make(map[string]bool)
 	var took []float64
 	for _, a := range c.answers {
+		if a.isGreedy {
+			whole[a.id] = a.status == http.StatusOK
+			continue
+		}
+		m.Sent++
 		switch {
 		case a.status == http.StatusOK:
 			m.Whole++
