Let congestion control go by most answers, and double its bound until the first sign

Kept: the share of slow answers as the sign, 64 at first, each answer raises the bound by one until the first sign.

--- a/internal/radishentry/congestion.go
+++ b/internal/radishentry/congestion.go
@@ -9,19 +9,24 @@
 
 // Congestion control by additive increase and multiplicative decrease.
 const (
-	// congestionStart is the requests of a pipeline that a VM lets in at a time before it knows better.
+	// congestionStart is the requests of a pipeline that a VM lets in at a time at first; until the first sign of
+	// congestion each answer raises it by one, which doubles it in the time of a request.
 	congestionStart = 64
 	congestionFloor = 2
-	// congestionShare is the share of its deadline above which a request's time counts as a sign of congestion.
+	// congestionShare is the share of its deadline above which a request counts as slow.
 	congestionShare = 0.5
 	// congestionCut is what is left of the limit after a sign of congestion.
 	congestionCut = 0.9
 	// congestionPause is the least time between two cuts, as a share of the deadline.
 	congestionPause = 0.1
-	// congestionSlowdown is how many times the shortest time a request must take to count as a sign of congestion.
+	// congestionSlowdown is how many times the shortest time a slow request takes as well.
 	congestionSlowdown = 2
 	// fastestFade moves the shortest time towards each longer one.
 	fastestFade = 0.01
+	// slowWeight is the weight of the newest request in the share of slow ones, slowLimit the share that is a sign of
+	// congestion: answers differ in length, so a few slow ones say nothing.
+	slowWeight = 0.2
+	slowLimit  = 0.5
 )
 
 // congestion bounds the requests of one pipeline in flight on this VM. It learns from answers that take a large part of
@@ -34,6 +39,8 @@
 	cutAt    time.Time
 	// fastest is about the shortest time that a request takes.
 	fastest time.Duration
+	// slow is the moving average of the share of slow requests.
+	slow float64
 }
 
 // enter admits a request of the team or returns false. A team within its share of the limit always enters; one above
@@ -76,22 +83,27 @@
 	if c.fastest == 0 || took < c.fastest {
 		c.fastest = took
 	}
-	if c.isCongested(took, deadline) {
+	c.countSlow(took, deadline)
+	if c.slow > slowLimit {
 		c.cut(deadline)
 		return
 	}
 	c.fastest += time.Duration(fastestFade * float64(took-c.fastest))
-	if isFull {
+	switch {
+	case isFull && c.cutAt.IsZero():
+		c.limit++
+	case isFull:
 		c.limit += 1 / c.limit
 	}
 }
 
-// isCongested leaves out pipelines whose requests take most of their deadline at any load.
-func (c *congestion) isCongested(took, deadline time.Duration) bool {
-	if took >= deadline {
-		return true
+// countSlow leaves out pipelines whose requests take most of their deadline at any load.
+func (c *congestion) countSlow(took, deadline time.Duration) {
+	sample := 0.0
+	if float64(took) > congestionShare*float64(deadline) && took > congestionSlowdown*c.fastest {
+		sample = 1
 	}
-	return float64(took) > congestionShare*float64(deadline) && took > congestionSlowdown*c.fastest
+	c.slow += slowWeight * (sample - c.slow)
 }
 
 func (c *congestion) cut(deadline time.Duration) {
@@ -99,6 +111,7 @@
 	if now.Sub(c.cutAt) < time.Duration(congestionPause*float64(deadline)) {
 		return
 	}
-	c.limit = max(congestionFloor, c.limit*congestionCut)
+	// A bound far above what is in flight says nothing, so the first cut starts from there.
+	c.limit = max(congestionFloor, min(c.limit, float64(c.inFlight+1))*congestionCut)
 	c.cutAt = now
 }
