Wait for every admitted request and its outcome before a VM leaves

The two stacks are Runner.runOnce starting the background recording of an outcome and waitAndLeave waiting for all of them. The listener's shutdown was taken for the end of all requests, which it is not when the time to leave runs out, nor for requests served in the same process. The wait could then end before an outcome was recorded, and a sync.WaitGroup may not start from zero while it is waited for. Ruled out: the harness (its own fields are not in either stack) and the claim writer, whose starts hold its mutex but which had the same pattern in its wait, so it changes too.

Change: admission closes and waits until the last admitted request has left, within the time to leave; requests after that are refused as not run. Background tasks of the ledger and the writer run in a group that may start one while another call waits. The load of the harness sends no retry to a VM that has closed its listener, since no connection reaches it; the old code answered there, which hid the fault.

--- a/internal/radishentry/admission.go
+++ b/internal/radishentry/admission.go
@@ -1,6 +1,7 @@
 package radishentry
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"time"
@@ -21,8 +22,10 @@
 	// EntryVMs returns how many VMs share the organisation's limits, at least 1.
 	EntryVMs func() int
 
-	mu       sync.Mutex
-	total    int
+	mu    sync.Mutex
+	total int
+	// idle is made by Close and closed when the last request has left.
+	idle     chan struct{}
 	byTeam   map[string]int
 	limiters map[radishrule.LimitKey]*limiter
 	// congested holds the congestion control of each pipeline.
@@ -36,11 +39,14 @@
 	limit *rate.Limiter
 }
 
-// Enter admits a request or returns radish.ErrShed with the rule that refused it; the caller must call Leave
-// after a nil error.
+// Enter admits a request or returns radish.ErrShed with the rule that refused it, or radish.ErrUnavailable after
+// Close; the caller must call Leave after a nil error.
 func (a *Admission) Enter(rules *radishrule.RuleSet, team *radishrule.Team, pipeline string) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.idle != nil {
+		return fmt.Errorf("%w: this VM is leaving", radish.ErrUnavailable)
+	}
 	for _, key := range []radishrule.LimitKey{{Team: team.Name, Pipeline: pipeline}, {Team: team.Name}} {
 		if rule, ok := rules.Limits[key]; ok && !a.limiterOf(key, rule).Allow() {
 			return fmt.Errorf("%w: %s", radish.ErrShed, rule.Line.Text)
@@ -85,6 +91,26 @@
 	if a.byTeam[team.Name] == 0 {
 		delete(a.byTeam, team.Name)
 	}
+	if a.total == 0 && a.idle != nil {
+		close(a.idle)
+	}
+}
+
+// Close admits no more requests and waits until those admitted have left or ctx ends; it is called once.
+func (a *Admission) Close(ctx context.Context) error {
+	idle := make(chan struct{})
+	a.mu.Lock()
+	a.idle = idle
+	if a.total == 0 {
+		close(idle)
+	}
+	a.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // InFlight returns the admitted requests that have not left.
--- a/internal/radishentry/handler.go
+++ b/internal/radishentry/handler.go
@@ -73,7 +73,7 @@
 	c, problem := e.check(w, r, id)
 	if problem == nil {
 		if err := e.Admission.Enter(c.request.Rules, c.team, c.request.Pipeline.Name); err != nil {
-			problem = newProblem(http.StatusTooManyRequests, "shed", "", err.Error())
+			problem = classify(err)
 		}
 	}
 	if problem != nil {
--- a/internal/radishentry/problem.go
+++ b/internal/radishentry/problem.go
@@ -66,6 +66,8 @@
 
 func classify(err error) *Problem {
 	switch {
+	case errors.Is(err, radish.ErrShed):
+		return newProblem(http.StatusTooManyRequests, "shed", "", err.Error())
 	case errors.Is(err, radish.ErrKeyMismatch):
 		return newProblem(http.StatusUnprocessableEntity, "key_mismatch", "Idempotency-Key", err.Error())
 	case errors.Is(err, radish.ErrKeyExpired):
--- a/internal/radishserve/cluster_test.go
+++ b/internal/radishserve/cluster_test.go
@@ -234,7 +234,10 @@
 			c.calls.Go(func() { c.send(v, "seat", key) })
 			if rng.IntN(2) == 0 {
 				other := c.vms[rng.IntN(len(c.vms))]
-				c.calls.Go(func() { c.send(other, "seat", key) })
+				// No connection reaches a VM that has closed its listener to leave.
+				if !other.server.draining.Load() {
+					c.calls.Go(func() { c.send(other, "seat", key) })
+				}
 			}
 			continue
 		}
--- a/internal/radishserve/leaving_test.go
+++ b/internal/radishserve/leaving_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"radishramp.example/radishramp/internal/radishentry"
 	"radishramp.example/radishramp/internal/radishstandin"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
@@ -96,6 +97,34 @@
 	})
 }
 
+// TestLeavingRecordsTheLastOutcome stops a VM whose booking outlasts its listener: the VM waits for the booking and
+// records its outcome, so that a retry elsewhere gets it, and admits nothing more.
+func TestLeavingRecordsTheLastOutcome(t *testing.T) {
+	prove(t, []string{"bandung"}, func(c *cluster) string {
+		c.fleet.Target("booking-bandung").SetFaults(radishstandin.TargetFaults{SlowByMS: 2000})
+		leaving := c.vms[0]
+		key := radishstandin.KeyAt(time.Now()).String()
+		began := time.Now()
+		var first answer
+		c.calls.Go(func() { first = c.send(leaving, "seat", key) })
+		time.Sleep(100 * time.Millisecond)
+		leaving.stop()
+		time.Sleep(time.Second)
+		if late := c.send(leaving, "digest", ""); late.status != http.StatusServiceUnavailable || late.ran != radishentry.RanNot {
+			return fmt.Sprintf("a request after the listener closed: %d ran %s", late.status, late.ran)
+		}
+		<-leaving.done
+		if time.Since(began) < 2*time.Second {
+			return "the VM left before its last booking was answered"
+		}
+		c.calls.Wait()
+		if retry := c.send(c.vms[1], "seat", key); first.status != http.StatusOK || retry.status != http.StatusOK {
+			return fmt.Sprintf("the booking: %d, its retry: %d", first.status, retry.status)
+		}
+		return c.check()
+	})
+}
+
 // TestDataCentreReturns drains a data centre, turns its targets cold meanwhile and brings it back under load.
 func TestDataCentreReturns(t *testing.T) {
 	prove(t, []string{"bandung", "semarang"}, func(c *cluster) string {
--- a/internal/radishserve/server.go
+++ b/internal/radishserve/server.go
@@ -196,7 +196,7 @@
 	time.Sleep(s.Settings.Shutdown.BalancerWait)
 	grace, cancel := context.WithTimeout(background, s.Settings.Shutdown.Grace)
 	defer cancel()
-	err := caller.Shutdown(grace)
+	err := errors.Join(caller.Shutdown(grace), s.admission.Close(grace))
 	s.ledger.Wait()
 	s.Log.Info("left", "in_flight", s.admission.InFlight())
 	return err
--- a/pkg/radishclaim/ledger.go
+++ b/pkg/radishclaim/ledger.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -46,7 +45,7 @@
 	Window time.Duration
 	Log    hclog.Logger
 
-	settling sync.WaitGroup
+	settling taskGroup
 }
 
 // Claim (spec: Claim) returns the right to run, or the recorded outcome. Errors that mean nothing was run for this
--- a/pkg/radishclaim/writer.go
+++ b/pkg/radishclaim/writer.go
@@ -39,7 +39,7 @@
 	cache   map[string]radish.Object
 	updates int64
 	written int64
-	working sync.WaitGroup
+	working taskGroup
 }
 
 // waiter is a call of Write that waits for its ops.
