--- a/internal/radishmetric/metric.go
+++ b/internal/radishmetric/metric.go
@@ -24,6 +24,7 @@
 	attempts metric.Int64Counter
 	retries  metric.Int64Counter
 	permits  metric.Int64Counter
+	orders   metric.Int64Counter
 
 	mu   sync.RWMutex
 	sets map[[3]string]metric.MeasurementOption
@@ -45,7 +46,7 @@
 }
 
 func (m *Metrics) createInstruments() error {
-	var errs [5]error
+	var errs [6]error
 	m.requests, errs[0] = m.meter.Int64Counter("radishramp_requests", metric.WithDescription("Requests by pipeline and outcome."))
 	m.latency, errs[1] = m.meter.Float64Histogram("radishramp_request_seconds",
 		metric.WithDescription("Time from a request's arrival to the end of its answer."),
@@ -53,6 +54,7 @@
 	m.attempts, errs[2] = m.meter.Int64Counter("radishramp_attempts", metric.WithDescription("Attempts by service and result; crossed and cut answers were dropped."))
 	m.retries, errs[3] = m.meter.Int64Counter("radishramp_retries", metric.WithDescription("Retries by service."))
 	m.permits, errs[4] = m.meter.Int64Counter("radishramp_permits", metric.WithDescription("Permits for cold targets asked for, by result."))
+	m.orders, errs[5] = m.meter.Int64Counter("radishramp_orders", metric.WithDescription("Orders to targets by service and outcome."))
 	return trace.NewAggregate(errs[:]...)
 }
 
@@ -121,6 +123,13 @@
 	m.permits.Add(context.Background(), 1, m.set("permit", result, ""))
 }
 
+// Order counts an order to a target.
+func (m *Metrics) Order(service, outcome string) {
+	if m != nil {
+		m.orders.Add(context.Background(), 1, m.set("order", service, outcome))
+	}
+}
+
 // Gauge exports a value that is read at each collection.
 func (m *Metrics) Gauge(name, description string, read func() float64) error {
 	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
--- a/internal/radishserve/build.go
+++ b/internal/radishserve/build.go
@@ -31,17 +31,26 @@
 	if s.platform == nil {
 		s.platform = s.newPlatformClient()
 	}
-	s.targets = s.Targets
-	if s.targets == nil {
-		s.targets = &radishtarget.Client{HTTP: &http.Client{Transport: radishtarget.NewTransport()}}
-	}
+	s.buildTargetClients()
 	s.buildMembership()
 	s.buildCold()
+	s.buildPlacement()
 	s.buildClaims()
 	s.buildEntry()
 	return s.addGauges()
 }
 
+func (s *Server) buildTargetClients() {
+	client := &radishtarget.Client{HTTP: &http.Client{Transport: radishtarget.NewTransport()}}
+	s.targets, s.orders = s.Targets, s.Orders
+	if s.targets == nil {
+		s.targets = client
+	}
+	if s.orders == nil {
+		s.orders = client
+	}
+}
+
 func (s *Server) buildMembership() {
 	vm := s.Settings.VM
 	s.heartbeats = newHeartbeats(s)
--- a/internal/radishserve/cluster_test.go
+++ b/internal/radishserve/cluster_test.go
@@ -60,6 +60,7 @@
 	name   string
 	server *Server
 	view   *radishstandin.View
+	orders *radishstandin.Orderer
 	stop   context.CancelFunc
 	done   chan struct{}
 	err    error
@@ -77,6 +78,8 @@
 	targets  []*radishstandin.Target
 	stores   *radishconfig.Store
 	calls    sync.WaitGroup
+	// checksFencing tells whether model engines refuse old orders, and the rules say so.
+	checksFencing bool
 
 	mu       sync.Mutex
 	answers  []answer
@@ -154,8 +157,9 @@
 	cfg.Routing.Picker = c.picker
 	cfg.Shutdown.BalancerWait = 500 * time.Millisecond
 	v := &vm{name: name, view: &radishstandin.View{Platform: c.platform}, done: make(chan struct{})}
+	v.orders = &radishstandin.Orderer{Fleet: c.fleet}
 	v.server = &Server{
-		Settings: cfg, Log: hclog.NewNullLogger(), Platform: v.view, Targets: c.fleet,
+		Settings: cfg, Log: hclog.NewNullLogger(), Platform: v.view, Targets: c.fleet, Orders: v.orders,
 		Listen: func(address string) (net.Listener, error) { return c.network.Listen(address) },
 		Dial:   c.network.Dialer(name + ":3"),
 	}
--- a/internal/radishtarget/client.go
+++ b/internal/radishtarget/client.go
@@ -28,8 +28,11 @@
 // MaxAnswerBytes is the largest answer, in bytes, that is collected in memory.
 const MaxAnswerBytes = 8 << 20
 
-// loadTimeout bounds the reading of a load report.
-const loadTimeout = time.Second
+// reportTimeout bounds the reading of a report.
+const reportTimeout = time.Second
+
+// detailBytes is how much of a refusal's text is kept.
+const detailBytes = 512
 
 // Client sends attempts over HTTP; set the exported fields before the first call.
 type Client struct {
@@ -123,7 +126,7 @@
 
 func readAnswer(res *http.Response, a *radish.Attempt, answer *radish.Answer) error {
 	if err := statusError(res.StatusCode); err != nil {
-		detail, _ := io.ReadAll(io.LimitReader(res.Body, 512))
+		detail, _ := io.ReadAll(io.LimitReader(res.Body, detailBytes))
 		return fmt.Errorf("%w: status %d: %s", err, res.StatusCode, strings.TrimSpace(string(detail)))
 	}
 	if answer.AttemptID != a.ID {
@@ -173,22 +176,27 @@
 // Load implements radish.TargetClient.
 func (c *Client) Load(ctx context.Context, t radish.Target) (radish.LoadReport, error) {
 	var report radish.LoadReport
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	err := c.getJSON(ctx, t, "/v1/load", &report)
+	return report, err
+}
+
+// getJSON reads a report of the target; radish.ErrUnavailable when there is none.
+func (c *Client) getJSON(ctx context.Context, t radish.Target, path string, report any) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+"/v1/load", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+path, nil)
 	if err != nil {
-		return report, err
+		return err
 	}
 	res, err := c.HTTP.Do(req)
 	if err != nil {
-		return report, fmt.Errorf("%w: %w", radish.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", radish.ErrUnavailable, err)
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return report, fmt.Errorf("%w: load report: status %d", radish.ErrUnavailable, res.StatusCode)
+		return fmt.Errorf("%w: %s: status %d", radish.ErrUnavailable, path, res.StatusCode)
 	}
-	err = json.NewDecoder(res.Body).Decode(&report)
-	return report, err
+	return json.NewDecoder(res.Body).Decode(report)
 }
 
 // IsRunKnownNot tells whether the error proves that the target did not run the attempt.
--- a/pkg/radishrule/rule_set.go
+++ b/pkg/radishrule/rule_set.go
@@ -104,6 +104,7 @@
 	Priorities map[LimitKey]*Priority
 	Retries    map[string]*Retry
 	Objectives map[string]*Objective
+	Placements map[PlacementKey]*Placement
 	Drains     []*Drain
 
 	// referring are the rules that name others.
@@ -115,7 +116,7 @@
 	return &RuleSet{
 		Pipelines: maps.Clone(s.Pipelines), Services: maps.Clone(s.Services), Teams: maps.Clone(s.Teams), Tokens: maps.Clone(s.Tokens),
 		Limits: maps.Clone(s.Limits), Priorities: maps.Clone(s.Priorities), Retries: maps.Clone(s.Retries),
-		Objectives: maps.Clone(s.Objectives), Drains: slices.Clone(s.Drains), referring: slices.Clone(s.referring),
+		Objectives: maps.Clone(s.Objectives), Placements: maps.Clone(s.Placements), Drains: slices.Clone(s.Drains), referring: slices.Clone(s.referring),
 	}
 }
 
@@ -136,6 +137,7 @@
 		Priorities: make(map[LimitKey]*Priority),
 		Retries:    make(map[string]*Retry),
 		Objectives: make(map[string]*Objective),
+		Placements: make(map[PlacementKey]*Placement),
 	}
 }
 
