Refuse claim frames of peers that name another object or state

The writer took any object name and any state from a peer.

Change: the writer takes the names of claim objects only, and known states.

--- a/pkg/radishclaim/key.go
+++ b/pkg/radishclaim/key.go
@@ -67,9 +67,21 @@
 func (k Key) object() string {
 	bucket := made(k.ID).Unix() / bucketSeconds
 	shard := xxhash.Sum64String(k.name()) % shardCount
+	return objectName(bucket, shard)
+}
+
+func objectName(bucket int64, shard uint64) string {
 	return fmt.Sprintf("%s%011d-%d", objectPrefix, bucket, shard)
 }
 
+// isClaimObject tells whether the platform key is one that object returns for some key.
+func isClaimObject(object string) bool {
+	var bucket int64
+	var shard uint64
+	_, err := fmt.Sscanf(object, objectPrefix+"%d-%d", &bucket, &shard)
+	return err == nil && shard < shardCount && object == objectName(bucket, shard)
+}
+
 // outcomeObject returns the platform key for an outcome that is too large for its record.
 func (k Key) outcomeObject(claimID string) string {
 	return fmt.Sprintf("%s%011d-outcome-%s", objectPrefix, made(k.ID).Unix()/bucketSeconds, claimID)
--- a/pkg/radishclaim/record.go
+++ b/pkg/radishclaim/record.go
@@ -19,6 +19,10 @@
 	StateWithdrawn State = "withdrawn"
 )
 
+func (s State) isKnown() bool {
+	return s == StateClaimed || s == StateDone || s == StateWithdrawn
+}
+
 // Record is what the platform keeps of one key.
 type Record struct {
 	ClaimID string `json:"claim_id"`
--- a/pkg/radishclaim/writer.go
+++ b/pkg/radishclaim/writer.go
@@ -54,6 +54,9 @@
 // Write carries out the ops on the object and returns the records that stand afterwards, in order. An error means
 // that it is not known which ops were carried out.
 func (w *BatchWriter) Write(ctx context.Context, object string, ops []Op) ([]Record, error) {
+	if err := checkWrite(object, ops); err != nil {
+		return nil, err
+	}
 	call := &waiter{ops: ops, since: time.Now(), done: make(chan struct{})}
 	w.join(object, call)
 	select {
@@ -64,6 +67,19 @@
 	}
 }
 
+// checkWrite refuses what a peer may not change: other objects of the platform, and records to no known state.
+func checkWrite(object string, ops []Op) error {
+	if !isClaimObject(object) {
+		return trace.BadParameter("%q is not a claim object", object)
+	}
+	for _, op := range ops {
+		if op.Name == "" || op.ClaimID == "" || !op.State.isKnown() {
+			return trace.BadParameter("claim %q of record %q: unknown state %q", op.ClaimID, op.Name, op.State)
+		}
+	}
+	return nil
+}
+
 func (w *BatchWriter) join(object string, call *waiter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
