--- a/pkg/radishplacement/placer.go
+++ b/pkg/radishplacement/placer.go
@@ -136,13 +136,25 @@
 		if r == nil || r.IsLoading || r.IsEqual(want.Engine) || loading >= want.AtATime {
 			continue
 		}
-		// An order whose answer was lost may have been taken.
-		if err := p.order(ctx, g, want, generation); !isKnownNotTaken(err) {
-			loading++
+		err := p.order(ctx, g, want, generation)
+		if isKnownNotTaken(err) {
+			continue
+		}
+		loading++
+		if err != nil {
+			// The order may still arrive, and the next one must not be overtaken by it.
+			sleep(ctx, arrivalMargin)
 		}
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // readReports returns the report of each target of the group, nil where there is none.
 func (p *Placer) readReports(ctx context.Context, g Group) []*radish.EngineReport {
 	reports := make([]*radish.EngineReport, len(g.Wants))
--- a/pkg/radishplacement/placer_test.go
+++ b/pkg/radishplacement/placer_test.go
@@ -126,3 +126,15 @@
 		t.Errorf("ordered %v without the lease", engines.ordered)
 	}
 }
+
+// TestOrdersAreNotOvertaken leaves an order without an answer: the next round begins when it cannot arrive any more.
+func TestOrdersAreNotOvertaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{err: context.DeadlineExceeded}
+		began := time.Now()
+		newTestPlacer(&fakeLease{held: radishlease.Held{Term: 1, Since: began}}, engines, false).round(t.Context())
+		if took := time.Since(began); took < arrivalMargin {
+			t.Errorf("the round ended %v after an order that may still arrive", took)
+		}
+	})
+}
--- a/tools/model.sh
+++ b/tools/model.sh
@@ -16,7 +16,7 @@
   cp "spec/$model.pml" "$work/$model$mutant/"
   (
     cd "$work/$model$mutant"
-    spin ${mutant:+-D$mutant} -a "$model.pml" >spin.log
+    spin ${mutant:+-D$mutant} -a "$model.pml" >spin.log || { cat spin.log >&2; exit 1; }
     gcc -w -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=4000 -o pan pan.c 2>gcc.log
     ./pan -m1000000 >pan.log
     errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' pan.log)
@@ -26,7 +26,7 @@
   )
 }
 
-for model in claim steward config; do
+for model in claim steward config order; do
   read -r errors states incomplete < <(check "$model")
   if [ "$errors" = 0 ] && [ "$incomplete" = 0 ]; then
     echo "model: $model holds in all $states states"
