Compare answer times under load with what a pipeline takes without it, not with its shortest answer

Cause: congestion control took an answer for slow by comparison with the shortest one. A pipeline of which one answer in ten is short, as from a cache, was taken for congested without load and held to the floor of 2 requests for good: nothing was learnt while answers counted as slow (TestMixedAnswersAreNoCongestion, "answers of 2.6s, some of 500ms: the pipeline is held to 2.0 requests"). Ruled out: the share of slow answers that is a sign, which had passed 1/2 here at any value.

Change: the time without load is a moving average that rises only while the VM is far from its bound or at the floor, when its own requests are not what makes answers long.

--- a/internal/radishentry/admission_test.go
+++ b/internal/radishentry/admission_test.go
@@ -47,26 +47,33 @@
 	})
 }
 
-// TestSomeLongAnswersAreNoCongestion gives a pipeline one long answer in ten.
-func TestSomeLongAnswersAreNoCongestion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const deadline = 5 * time.Second
-		c := &congestion{}
-		team := &radishrule.Team{Name: "roads", Share: 1}
-		rules := &radishrule.RuleSet{Teams: map[string]*radishrule.Team{"roads": team}}
-		for i := range 1000 {
-			c.enter(rules, team)
-			took := 500 * time.Millisecond
-			if i%10 == 0 {
-				took = 4 * time.Second
+// TestMixedAnswersAreNoCongestion gives pipelines without congestion answers of two lengths: one in ten is far longer,
+// or far shorter, as one whose prefix is cached.
+func TestMixedAnswersAreNoCongestion(t *testing.T) {
+	const deadline = 5 * time.Second
+	for _, test := range []struct{ usual, tenth time.Duration }{
+		{500 * time.Millisecond, 4 * time.Second},
+		{2 * time.Second, 100 * time.Millisecond},
+		{2600 * time.Millisecond, 500 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := &congestion{}
+			team := &radishrule.Team{Name: "roads", Share: 1}
+			rules := &radishrule.RuleSet{Teams: map[string]*radishrule.Team{"roads": team}}
+			for i := range 1000 {
+				c.enter(rules, team)
+				took := test.usual
+				if i%10 == 0 {
+					took = test.tenth
+				}
+				c.leave(team.Name, took, deadline)
+				time.Sleep(time.Second)
 			}
-			c.leave(team.Name, took, deadline)
-			time.Sleep(time.Second)
-		}
-		if c.limit < congestionStart {
-			t.Errorf("a pipeline with some long answers is held to %.1f requests", c.limit)
-		}
-	})
+			if c.limit < congestionStart {
+				t.Errorf("answers of %v, some of %v: the pipeline is held to %.1f requests", test.usual, test.tenth, c.limit)
+			}
+		})
+	}
 }
 
 func TestTeamsAreHeldToTheirShares(t *testing.T) {
--- a/internal/radishentry/congestion.go
+++ b/internal/radishentry/congestion.go
@@ -21,10 +21,12 @@
 	congestionCut = 0.9
 	// congestionPause is the least time between two cuts, as a share of the deadline.
 	congestionPause = 0.1
-	// congestionSlowdown is how many times the shortest time a slow request takes as well.
+	// congestionSlowdown is how many times the unloaded time a slow request takes as well.
 	congestionSlowdown = 2
-	// fastestFade moves the shortest time towards each longer one.
-	fastestFade = 0.01
+	// unloadedFall and unloadedRise move the unloaded time towards each shorter and each longer answer; a few very
+	// short answers, as from a cache, say little about the others.
+	unloadedFall = 0.1
+	unloadedRise = 0.02
 	// slowWeight is the weight of the newest request in the share of slow ones, slowLimit the share that is a sign of
 	// congestion: answers differ in length, so a few slow ones say nothing.
 	slowWeight = 0.2
@@ -39,8 +41,9 @@
 	inFlight int
 	byTeam   map[string]int
 	cutAt    time.Time
-	// fastest is about the shortest time that a request takes.
-	fastest time.Duration
+	// unloaded is about the time that a short request takes without congestion.
+	unloaded time.Duration
+	answers  int
 	// slow is the moving average of the share of slow requests.
 	slow float64
 }
@@ -82,15 +85,12 @@
 	if c.byTeam[team] <= 0 {
 		delete(c.byTeam, team)
 	}
-	if c.fastest == 0 || took < c.fastest {
-		c.fastest = took
-	}
 	c.countSlow(took, deadline)
+	c.learnUnloaded(took, isFull)
 	if c.slow > slowLimit {
 		c.cut(deadline)
 		return
 	}
-	c.fastest += time.Duration(fastestFade * float64(took-c.fastest))
 	switch {
 	case isFull && c.cutAt.IsZero():
 		c.limit = min(congestionCeiling, c.limit+1)
@@ -99,10 +99,23 @@
 	}
 }
 
+// learnUnloaded learns longer times only while the VM is far from its bound, or at the lowest one: then its own
+// requests are not what makes them long. The first answers count evenly, for the very first may be a short one.
+func (c *congestion) learnUnloaded(took time.Duration, isFull bool) {
+	c.answers++
+	first := 1 / float64(c.answers)
+	switch {
+	case took < c.unloaded:
+		c.unloaded -= time.Duration(max(unloadedFall, first) * float64(c.unloaded-took))
+	case !isFull || c.limit <= congestionFloor:
+		c.unloaded += time.Duration(max(unloadedRise, first) * float64(took-c.unloaded))
+	}
+}
+
 // countSlow leaves out pipelines whose requests take most of their deadline at any load, unless they miss it.
 func (c *congestion) countSlow(took, deadline time.Duration) {
 	isLate := took >= deadline
-	isSlow := float64(took) > congestionShare*float64(deadline) && took > congestionSlowdown*c.fastest
+	isSlow := float64(took) > congestionShare*float64(deadline) && c.unloaded > 0 && took > congestionSlowdown*c.unloaded
 	sample := 0.0
 	if isLate || isSlow {
 		sample = 1
