Take answers above 0.3 of their deadline for a sign of congestion

Requests admitted before the sign are seen late only when they end, so at twice the load the backlog grows to twice the time that counts as slow: 2 x 0.5 of the deadline is all of it. Ruled out: retries (none were sent) and targets (no failures).

--- a/internal/radishentry/congestion.go
+++ b/internal/radishentry/congestion.go
@@ -16,7 +16,7 @@
 	// congestionCeiling keeps the bound from growing without end while there is no sign of congestion.
 	congestionCeiling = 10_000
 	// congestionShare is the share of its deadline above which a request counts as slow.
-	congestionShare = 0.5
+	congestionShare = 0.3
 	// congestionCut is what is left of the limit after a sign of congestion.
 	congestionCut = 0.9
 	// congestionPause is the least time between two cuts, as a share of the deadline.
