Let a team enter at its share of the rate of answers during another team's backlog

Shares were counted in requests in flight, which long answers multiply: the team sent 30 % of what the pipeline answers, under its half, and was held for being above it.

Change: a team that is above its share of the bound may enter by credit: 0.8 of its share of the requests that end while it has some in flight.

TestBacklogOfAnotherTeam is red without it: "refused after 18 answers, with 6 of 187 in flight".

--- a/internal/radishentry/admission_test.go
+++ b/internal/radishentry/admission_test.go
@@ -76,6 +76,37 @@
 	}
 }
 
+// TestBacklogOfAnotherTeam lets a team send a third of what the pipeline answers, half of which is its share, while the
+// backlog of a greedy team makes answers long: the team is never refused, and the backlog goes.
+func TestBacklogOfAnotherTeam(t *testing.T) {
+	const backlog, bound, answers = 200, 10, 400
+	greedy, small := &radishrule.Team{Name: "greedy", Share: 1}, &radishrule.Team{Name: "small", Share: 1}
+	rules := &radishrule.RuleSet{Teams: map[string]*radishrule.Team{"greedy": greedy, "small": small}}
+	c := &congestion{limit: backlog, byTeam: make(map[string]int), credits: make(map[string]*credit)}
+	var queue []*radishrule.Team
+	enter := func(team *radishrule.Team) bool {
+		isIn := c.enter(rules, team)
+		if isIn {
+			queue = append(queue, team)
+		}
+		return isIn
+	}
+	for enter(greedy) {
+	}
+	for i := range answers {
+		c.limit = bound
+		c.leave(queue[0].Name, time.Second, 5*time.Second)
+		queue = queue[1:]
+		if i%3 == 0 && !enter(small) {
+			t.Fatalf("the small team is refused after %d answers, with %d of %d in flight", i, c.byTeam["small"], c.inFlight)
+		}
+		enter(greedy)
+	}
+	if most := backlog - (1-creditShare)*answers; float64(c.inFlight) > most {
+		t.Errorf("%d requests are in flight after %d answers, want at most %.0f", c.inFlight, answers, most)
+	}
+}
+
 func TestTeamsAreHeldToTheirShares(t *testing.T) {
 	rules := &radishrule.RuleSet{Teams: map[string]*radishrule.Team{"greedy": {Name: "greedy", Share: 1}, "small": {Name: "small", Share: 1}}}
 	a := &Admission{MaxInFlight: 40, EntryVMs: func() int { return 1 }}
--- a/internal/radishentry/congestion.go
+++ b/internal/radishentry/congestion.go
@@ -23,6 +23,10 @@
 	congestionPause = 0.1
 	// congestionSlowdown is how many times the unloaded time a slow request takes as well.
 	congestionSlowdown = 2
+	// creditShare is the part of a team's share of the requests that end by which it may enter whatever its requests in
+	// flight: they are many while answers are long for the backlog of another team. It is below 1, so that the backlog
+	// of all teams together goes down.
+	creditShare = 0.8
 	// unloadedFall and unloadedRise move the unloaded time towards each shorter and each longer answer; a few very
 	// short answers, as from a cache, say little about the others.
 	unloadedFall = 0.1
@@ -40,7 +44,10 @@
 	limit    float64
 	inFlight int
 	byTeam   map[string]int
-	cutAt    time.Time
+	// ended counts the requests that have left; credits are what the teams in flight gained by them.
+	ended   int
+	credits map[string]*credit
+	cutAt   time.Time
 	// unloaded is about the time that a short request takes without congestion.
 	unloaded time.Duration
 	answers  int
@@ -48,6 +55,13 @@
 	slow float64
 }
 
+// credit is how many requests of a team may enter above its share of the limit.
+type credit struct {
+	requests float64
+	// countedAt is the value of ended up to which the credit counts.
+	countedAt int
+}
+
 // enter admits a request of the team or returns false. A team within its share of the limit always enters; one above
 // it enters while a part of the limit is left for the others.
 func (c *congestion) enter(rules *radishrule.RuleSet, team *radishrule.Team) bool {
@@ -56,13 +70,35 @@
 	if c.limit == 0 {
 		c.limit = congestionStart
 		c.byTeam = make(map[string]int)
+		c.credits = make(map[string]*credit)
 	}
 	fair := fairShare(rules, team, c.byTeam, c.limit)
-	if float64(c.byTeam[team.Name]) >= fair && float64(c.inFlight) >= c.roomAbove(fair) {
+	isAbove := float64(c.byTeam[team.Name]) >= fair && float64(c.inFlight) >= c.roomAbove(fair)
+	if isAbove && !c.spendCredit(team.Name, fair/c.limit) {
 		return false
 	}
 	c.inFlight++
 	c.byTeam[team.Name]++
+	if c.credits[team.Name] == nil {
+		c.credits[team.Name] = &credit{countedAt: c.ended}
+	}
+	return true
+}
+
+// spendCredit takes one request from the credit of a team that has the pipeline not for itself, and tells whether
+// there was one.
+func (c *congestion) spendCredit(team string, share float64) bool {
+	k := c.credits[team]
+	if k == nil || share >= 1 {
+		return false
+	}
+	k.requests += creditShare * share * float64(c.ended-k.countedAt)
+	k.requests = min(k.requests, max(1, share*c.limit))
+	k.countedAt = c.ended
+	if k.requests < 1 {
+		return false
+	}
+	k.requests--
 	return true
 }
 
@@ -81,9 +117,11 @@
 	defer c.mu.Unlock()
 	isFull := float64(c.inFlight) >= c.limit/2
 	c.inFlight--
+	c.ended++
 	c.byTeam[team]--
 	if c.byTeam[team] <= 0 {
 		delete(c.byTeam, team)
+		delete(c.credits, team)
 	}
 	c.countSlow(took, deadline)
 	c.learnUnloaded(took, isFull)
