--- a/internal/radishentry/congestion.go
+++ b/internal/radishentry/congestion.go
@@ -1,7 +1,6 @@
 package radishentry
 
 import (
-	"sync"
 	"time"
 
 	"radishramp.example/radishramp/pkg/radishrule"
@@ -28,7 +27,7 @@
 	// of all teams together goes down.
 	creditShare = 0.8
 	// unloadedFall and unloadedRise move the unloaded time towards each shorter and each longer answer; a few very
-	// short answers, as from a cache, say little about the others.
+	// short answers, as from a cache, say little about the others. The first ones weigh evenly.
 	unloadedFall = 0.1
 	unloadedRise = 0.02
 	// slowWeight is the weight of the newest request in the share of slow ones, slowLimit the share that is a sign of
@@ -38,9 +37,8 @@
 )
 
 // congestion bounds the requests of one pipeline in flight on this VM. It learns from answers that take a large part of
-// their deadline, before any misses it, so that refusals come before anything ran.
+// their deadline, before any misses it, so that refusals come before anything ran. Admission's mutex guards it.
 type congestion struct {
-	mu       sync.Mutex
 	limit    float64
 	inFlight int
 	byTeam   map[string]int
@@ -50,7 +48,6 @@
 	cutAt   time.Time
 	// unloaded is about the time that a short request takes without congestion.
 	unloaded time.Duration
-	answers  int
 	// slow is the moving average of the share of slow requests.
 	slow float64
 }
@@ -65,8 +62,6 @@
 // enter admits a request of the team or returns false. A team within its share of the limit always enters; one above
 // it enters while a part of the limit is left for the others.
 func (c *congestion) enter(rules *radishrule.RuleSet, team *radishrule.Team) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.limit == 0 {
 		c.limit = congestionStart
 		c.byTeam = make(map[string]int)
@@ -113,8 +108,6 @@
 
 // leave ends a request of the team that took so long of its pipeline's deadline.
 func (c *congestion) leave(team string, took, deadline time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	isFull := float64(c.inFlight) >= c.limit/2
 	c.inFlight--
 	c.ended++
@@ -140,8 +133,7 @@
 // learnUnloaded learns longer times only while the VM is far from its bound, or at the lowest one: then its own
 // requests are not what makes them long. The first answers count evenly, for the very first may be a short one.
 func (c *congestion) learnUnloaded(took time.Duration, isFull bool) {
-	c.answers++
-	first := 1 / float64(c.answers)
+	first := 1 / float64(c.ended)
 	switch {
 	case took < c.unloaded:
 		c.unloaded -= time.Duration(max(unloadedFall, first) * float64(c.unloaded-took))
--- a/internal/radishserve/measure_test.go
+++ b/internal/radishserve/measure_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,6 +33,13 @@
 	// modestGap is the mean gap at 30 % of the capacity, greedyGap at 170 %.
 	modestGap = time.Second / 96
 	greedyGap = time.Second / 544
+	// burstGap adds requests at the whole capacity for burstTime: 70 % more than the capacity in all.
+	burstGap  = time.Second / 320
+	burstTime = time.Second
+	burstSeed = 1000
+	// slowStage brings two encoders of 8 slots with 20 ms of work to 246 requests a second, collapsedStage to 16.
+	slowStage      = 45 * time.Millisecond
+	collapsedStage = time.Second
 )
 
 // measurement is one line of make measure.
@@ -77,9 +85,22 @@
 		_ = c.tryApply(2, rulesText(""))
 	}},
 	{name: "greedy_team", gap: modestGap, greedyGap: greedyGap, cause: func(*cluster) {}},
+	{name: "slow_stage", gap: usualGap, cause: func(c *cluster) { c.slowEncoders(slowStage) }},
+	{name: "collapsed_stage", gap: usualGap, cause: func(c *cluster) { c.slowEncoders(collapsedStage) }},
+	{name: "burst", gap: usualGap, cause: func(c *cluster) {
+		c.arriveFor(burstTime, testToken, burstSeed, burstGap)
+	}},
 	{name: "overload", gap: overloadGap, cause: func(*cluster) {}},
 }
 
+func (c *cluster) slowEncoders(by time.Duration) {
+	for _, target := range c.targets {
+		if strings.HasPrefix(target.Name, "encoder-") {
+			target.SetFaults(radishstandin.TargetFaults{SlowByMS: int(by.Milliseconds())})
+		}
+	}
+}
+
 // TestMeasure prints the measurements of every scenario, policy and seed.
 func TestMeasure(t *testing.T) {
 	if *measureSeeds == 0 {
@@ -142,8 +163,12 @@
 
 // arrive sends a team's requests to random VMs at random times with the mean gap.
 func (c *cluster) arrive(token string, seed uint64, gap time.Duration) {
+	c.arriveFor(measureTime, token, seed, gap)
+}
+
+func (c *cluster) arriveFor(d time.Duration, token string, seed uint64, gap time.Duration) {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	for end := time.Now().Add(measureTime); time.Now().Before(end); time.Sleep(time.Duration(rng.ExpFloat64() * float64(gap))) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Duration(rng.ExpFloat64() * float64(gap))) {
 		v := c.vms[rng.IntN(len(c.vms))]
 		c.calls.Go(func() { c.sendAs(token, v, "digest", "") })
 	}
--- a/pkg/radishlease/lease.go
+++ b/pkg/radishlease/lease.go
@@ -37,6 +37,14 @@
 	Since time.Time
 }
 
+// Holder tells whether this VM holds a lease.
+type Holder interface {
+	// IsHeld tells whether the lease is held now.
+	IsHeld() bool
+	// Current returns the lease as last seen.
+	Current() Held
+}
+
 // Lease competes for one object; set the exported fields before Run.
 type Lease struct {
 	Platform radish.Platform
--- a/pkg/radishpermit/steward.go
+++ b/pkg/radishpermit/steward.go
@@ -20,14 +20,6 @@
 // cancelMargin is how long a target may take to notice that an attempt was cancelled at its permit's end.
 const cancelMargin = 500 * time.Millisecond
 
-// Holder tells whether this VM is the steward.
-type Holder interface {
-	// IsHeld tells whether the lease is held now.
-	IsHeld() bool
-	// Current returns the lease as last seen.
-	Current() radishlease.Held
-}
-
 // Permit allows one attempt at a cold target until NotAfter.
 type Permit struct {
 	Target string
@@ -39,7 +31,7 @@
 
 // Steward grants permits while it holds the lease; set the exported fields before first use.
 type Steward struct {
-	Lease Holder
+	Lease radishlease.Holder
 	// MaxPermit is the longest permit, and so the time for which a new steward waits before its first grant.
 	MaxPermit time.Duration
 	// Capacity returns how much work the target bears while cold; 0 for an unknown one.
--- a/pkg/radishplacement/placer.go
+++ b/pkg/radishplacement/placer.go
@@ -21,14 +21,6 @@
 // arrivalMargin is how long a target may take to act on an order that was sent in time.
 const arrivalMargin = 500 * time.Millisecond
 
-// Holder tells whether this VM may give orders.
-type Holder interface {
-	// IsHeld tells whether the lease is held now.
-	IsHeld() bool
-	// Current returns the lease as last seen.
-	Current() radishlease.Held
-}
-
 // Plan is the wanted state of all targets by one generation of the configuration.
 type Plan struct {
 	// Generation is the fencing number of the plan's orders.
@@ -54,7 +46,7 @@
 
 // Placer gives orders while it holds the lease; set the exported fields before Run.
 type Placer struct {
-	Lease  Holder
+	Lease  radishlease.Holder
 	Client radish.OrderClient
 	// Plan returns the wanted state by the configuration in force here.
 	Plan func() Plan
