Answer who placed a model, and cover bad placements

Cause: `rules who` listed every rule of a request's services but their placements, so the question which model answered and who asked for it had no answer.

--- a/pkg/radishrule/placement.go
+++ b/pkg/radishrule/placement.go
@@ -1,6 +1,7 @@
 package radishrule
 
 import (
+	"cmp"
 	"slices"
 
 	"radishramp.example/radishramp/pkg/radish"
@@ -62,3 +63,19 @@
 	}
 	return s.Placements[PlacementKey{Service: t.Service}]
 }
+
+// placementLines returns the service's placements, that of all its targets first.
+func (s *RuleSet) placementLines(service string) []Line {
+	var placements []*Placement
+	for key, p := range s.Placements {
+		if key.Service == service {
+			placements = append(placements, p)
+		}
+	}
+	slices.SortFunc(placements, func(a, b *Placement) int { return cmp.Compare(a.Target, b.Target) })
+	var lines []Line
+	for _, p := range placements {
+		lines = append(lines, p.Line)
+	}
+	return lines
+}
--- a/pkg/radishrule/rule_set.go
+++ b/pkg/radishrule/rule_set.go
@@ -211,6 +211,7 @@
 		if r, ok := s.Retries[stage.Service]; ok {
 			lines = append(lines, r.Line)
 		}
+		lines = append(lines, s.placementLines(stage.Service)...)
 	}
 	for _, d := range s.Drains {
 		lines = append(lines, d.Line)
