Check the verdicts of configuration changes for linearizability

Cause: histories of claims were checked with porcupine, those of configurations only by their ends. The code of the configuration did not name the steps of spec/config.pml.

Change: each change is an operation on a counter that it raises by one from its base; one whose answer is unknown may be accepted at any later time. Ruled out as too strict: a conflict only where the generation differs, since a stale read may refuse a change that would have been good, which loses nothing.

--- a/pkg/radishconfig/fuzz_test.go
+++ b/pkg/radishconfig/fuzz_test.go
@@ -33,6 +33,7 @@
 	accepted  map[uint64]string
 	refused   map[string]bool
 	newest    [3]uint64
+	history   []changeEvent
 }
 
 func (w *configWorld) failf(format string, args ...any) {
@@ -59,9 +60,12 @@
 	lines := append(snapshot.Lines[:len(snapshot.Lines):len(snapshot.Lines)], radishrule.Line{
 		Text: fmt.Sprintf("drain target=t-%d-%d", operator, time.Now().UnixNano()), Comment: "asked by a test",
 	})
+	event := changeEvent{base: snapshot.Head.Generation, began: time.Now()}
 	head, err := store.Apply(ctx, radishconfig.Change{Base: snapshot.Head.Generation, By: fmt.Sprint(operator), Lines: lines})
+	event.ended, event.generation, event.verdict = time.Now(), head.Generation, verdictOf(err)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.history = append(w.history, event)
 	if err == nil {
 		if other, taken := w.accepted[head.Generation]; taken && w.violation == "" {
 			w.violation = fmt.Sprintf("generation %d was accepted twice: %s and %s", head.Generation, other, head.ChangeID)
@@ -105,6 +109,9 @@
 	if w.violation != "" {
 		return w.violation
 	}
+	if !isLinearizable(w.history) {
+		return fmt.Sprintf("the accepted changes are not linearizable: %+v", w.history)
+	}
 	final, err := store.Load(context.Background())
 	if errors.Is(err, radish.ErrNotFound) {
 		return ""
--- a/pkg/radishconfig/holder.go
+++ b/pkg/radishconfig/holder.go
@@ -45,7 +45,7 @@
 	return 0
 }
 
-// Offer puts the snapshot in force if its generation is above the current one and tells whether it did.
+// Offer (spec: VM) puts the snapshot in force if its generation is above the current one and tells whether it did.
 func (h *Holder) Offer(snapshot *Snapshot) (bool, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/pkg/radishconfig/store.go
+++ b/pkg/radishconfig/store.go
@@ -234,7 +234,7 @@
 	return trace.Wrap(err)
 }
 
-// acceptHead writes the head. An update whose answer was lost is sent again with the same expected version,
+// acceptHead (spec: send) writes the head. An update whose answer was lost is sent again with the same expected version,
 // which either makes the change or meets it, told by its id.
 func (s *Store) acceptHead(ctx context.Context, head Head, ifVersion uint64) (Head, error) {
 	value, err := json.Marshal(head)
@@ -267,7 +267,7 @@
 	return head, err
 }
 
-// resolveConflict tells whether the newest head is the change itself, follows it or beat it.
+// resolveConflict (spec: resolve) tells whether the newest head is the change itself, follows it or beat it.
 func (s *Store) resolveConflict(ctx context.Context, head Head) (bool, error) {
 	obj, err := s.Platform.Get(ctx, HeadKey)
 	if err != nil {
--- a/pkg/radishplacement/placer.go
+++ b/pkg/radishplacement/placer.go
@@ -96,7 +96,7 @@
 	_ = groups.Wait()
 }
 
-// isSettled tells whether targets that check no fencing number may get orders in this term: those of the predecessor
+// isSettled (spec: Settle) tells whether targets that check no fencing number may get orders in this term: orders of the predecessor
 // have run out, and this VM's configuration is not behind what the predecessor can have ordered.
 func (p *Placer) isSettled(ctx context.Context, generation uint64) bool {
 	lease := p.Lease.Current()
