--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -85,10 +85,7 @@
 
 // pick chooses a target, waiting a small part of the aim for one.
 func (e *exchange) pick(ctx context.Context) (radish.Target, bool) {
-	q := radishfleet.Query{Service: e.service.Name, Exclude: e.tried, ColdLimit: e.service.ColdPerSec > 0}
-	if e.service.IsEngine {
-		q.Affinity, q.Near = sharedPart(e.call.Prompt), e.inputPlace()
-	}
+	q := e.query()
 	end := time.Now().Add(e.route.Aim / pickShare)
 	for {
 		now := time.Now()
@@ -105,18 +102,6 @@
 	}
 }
 
-// sharedPart returns the longest prefix of the prompt that other calls may share.
-func sharedPart(prompt []radish.PromptPart) string {
-	switch len(prompt) {
-	case 0:
-		return ""
-	case 1:
-		return prompt[0].ID
-	default:
-		return prompt[len(prompt)-2].ID
-	}
-}
-
 func (e *exchange) refuseWithoutTarget(ctx context.Context) {
 	if isGone(ctx) {
 		e.outcome = outcomeLeft
@@ -294,4 +279,3 @@
 		}
 	}
 }
-
--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -3,132 +3,128 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"radishramp.example/radishramp/internal/radishstage"
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishbatch"
+	"radishramp.example/radishramp/pkg/radishfleet"
 )
 
-// errPiece reports a piece that could not be made.
-var errPiece = errors.New("piece of a stage was not made")
-
-// freeTimeout bounds the call that gives results up.
-const freeTimeout = time.Second
-
-// inputs are the results of a call's stages.
-type inputs struct {
-	// stages holds the handles by stage and piece; nil where the stage is left out.
-	stages [][]string
-	freed  []bool
-}
+const (
+	// freeTimeout bounds the call that gives results up.
+	freeTimeout = time.Second
+	// engineOverhead is about the time from the send to an engine to its first event, beside the reading of the prompt.
+	engineOverhead = 120 * time.Millisecond
+	// promptTokensPerMs is about how fast engines read prompts.
+	promptTokensPerMs = 40
+	// remakeShare is the part of the call's time that must be left for its stages to run a second time.
+	remakeShare = 0.4
+	// maxPieces bounds the pieces that a caller may ask for in one stage.
+	maxPieces = 1000
+)
 
 // pieces returns how many pieces the call has of the stage.
 func (e *exchange) pieces(stage int) int {
 	if stage < len(e.call.Pieces) {
-		return e.call.Pieces[stage]
+		return min(maxPieces, e.call.Pieces[stage])
 	}
 	return 0
 }
 
-// makeInputs runs the stages of the call, each as soon as those before it are done.
+// hasPieces tells whether any stage of the call has work.
+func (e *exchange) hasPieces() bool {
+	for i := range e.route.Stages {
+		if e.pieces(i) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// makeInputs has the stages of the call run.
 func (e *exchange) makeInputs(ctx context.Context) error {
 	e.releaseInputs()
-	n := len(e.route.Stages)
-	if n == 0 {
+	if !e.hasPieces() {
 		return nil
 	}
 	began := time.Now()
-	e.inputs = &inputs{stages: make([][]string, n), freed: make([]bool, n)}
-	done := make([]chan struct{}, n)
-	for i := range done {
-		done[i] = make(chan struct{})
+	plan := e.plan()
+	result, err := e.relay.Stages.Run(ctx, plan)
+	if errors.Is(err, radishstage.ErrFailed) && e.mayRemake() {
+		e.relay.Log.Info("stages run again", "id", e.call.ID, "error", err.Error())
+		result, err = e.relay.Stages.Run(ctx, plan)
+	}
+	e.relay.Log.Info("stages ended", "id", e.call.ID, "route", e.route.Name, "pieces", e.call.Pieces, "near", plan.Near,
+		"due_ms", plan.Due.Sub(began).Milliseconds(), "took_ms", time.Since(began).Milliseconds(), "error", errorText(err))
+	if err != nil {
+		return err
 	}
-	group, ctx := errgroup.WithContext(ctx)
-	for i := range e.route.Stages {
-		group.Go(func() error {
-			for _, before := range e.route.Stages[i].After {
-				select {
-				case <-done[before]:
-				case <-ctx.Done():
-					return ctx.Err()
-				}
-			}
-			if err := e.runStage(ctx, i); err != nil {
-				return err
-			}
-			close(done[i])
-			return nil
-		})
-	}
-	err := group.Wait()
-	e.freeFollowed()
-	e.relay.Log.Info("stages ended", "id", e.call.ID, "route", e.route.Name, "pieces", e.call.Pieces, "took_ms", time.Since(began).Milliseconds(), "error", errorText(err))
-	return err
+	e.inputs = result.Handles
+	return nil
 }
 
-func (e *exchange) runStage(ctx context.Context, i int) error {
-	stage := e.route.Stages[i]
-	n := e.pieces(i)
-	if n == 0 {
-		return nil
-	}
-	var handles []string
-	for _, before := range stage.After {
-		handles = append(handles, e.inputs.stages[before]...)
-	}
-	req := &radishstage.Request{
-		Service: stage.Service, ResultBytes: stage.ResultBytes, Due: e.due.Add(-modelTime - e.timeAfter(i)), Deadline: e.deadline,
+func (e *exchange) mayRemake() bool {
+	total := e.deadline.Sub(e.call.Received)
+	return float64(time.Until(e.deadline)) > remakeShare*float64(total)
+}
+
+func (e *exchange) plan() *radishstage.Plan {
+	modelTime := engineOverhead + time.Duration(e.call.InputTokens/promptTokensPerMs)*time.Millisecond
+	p := &radishstage.Plan{
+		CallID: e.call.ID, Key: e.call.PieceKey, Due: e.due.Add(-modelTime), Deadline: e.deadline.Add(-modelTime), Near: e.near,
+		Worth: 1 / float64(1+e.route.PriorityOf(e.team)),
 	}
-	for number := range n {
-		piece := radish.Piece{CallID: e.call.ID, Stage: i, Number: number, Inputs: handles}
-		if len(stage.After) == 0 {
-			piece.Key = e.call.PieceKey
-		}
-		req.Pieces = append(req.Pieces, piece)
+	for i, s := range e.route.Stages {
+		p.Stages = append(p.Stages, radishstage.Stage{Service: s.Service, After: s.After, Pieces: e.pieces(i), ResultBytes: s.ResultBytes})
 	}
-	results, err := e.relay.Stages.Run(ctx, req)
-	if err != nil {
-		return err
+	return p
+}
+
+// choosePlace chooses the data centre in which the call's large results are made and read: that of the engine which
+// its prompt belongs to.
+func (e *exchange) choosePlace() {
+	if !e.service.IsEngine {
+		return
 	}
-	e.inputs.stages[i] = radishstage.Handles(results)
-	for number, result := range results {
-		if result.Outcome != radish.PieceDone {
-			return fmt.Errorf("%w: stage %d piece %d: %s", errPiece, i, number, result.Outcome)
+	for _, s := range e.route.Stages {
+		if s.ResultBytes >= radishbatch.LargeResult {
+			e.weights = e.relay.Fleet.Weights(s.Service, e.service.Name, time.Now())
 		}
 	}
-	return nil
+	e.near = e.relay.Fleet.Place(e.query(), time.Now())
 }
 
-// timeAfter is about the time that the stages after the given one take.
-func (e *exchange) timeAfter(stage int) time.Duration {
-	longest := time.Duration(0)
-	for i := stage + 1; i < len(e.route.Stages); i++ {
-		if e.pieces(i) == 0 || !contains(e.route.Stages[i].After, stage) {
-			continue
+func (e *exchange) query() radishfleet.Query {
+	q := radishfleet.Query{Service: e.service.Name, Exclude: e.tried, ColdLimit: e.service.ColdPerSec > 0}
+	if e.service.IsEngine {
+		q.Affinity, q.Weights = sharedPart(e.call.Prompt), e.weights
+		if e.hasLargeInputs() {
+			q.Near = e.near
 		}
-		longest = max(longest, e.stageTime(i)+e.timeAfter(i))
 	}
-	return longest
+	return q
 }
 
-func (e *exchange) stageTime(stage int) time.Duration {
-	service := e.cfg.Services[e.route.Stages[stage].Service]
-	if service == nil || service.Batch == nil {
-		return 0
+// hasLargeInputs tells whether the call's engine reads results that are worth staying near to.
+func (e *exchange) hasLargeInputs() bool {
+	bytes := int64(0)
+	for _, i := range e.route.LastStages() {
+		bytes += int64(e.pieces(i)) * e.route.Stages[i].ResultBytes
 	}
-	return service.Batch.CallTime + time.Duration(service.Batch.MaxPieces)*service.Batch.PieceTime/2
+	return bytes >= radishbatch.LargeResult
 }
 
-func contains(list []int, n int) bool {
-	for _, v := range list {
-		if v == n {
-			return true
-		}
+// sharedPart returns the longest prefix of the prompt that other calls may share.
+func sharedPart(prompt []radish.PromptPart) string {
+	switch len(prompt) {
+	case 0:
+		return ""
+	case 1:
+		return prompt[0].ID
+	default:
+		return prompt[len(prompt)-2].ID
 	}
-	return false
 }
 
 // lastHandles returns what the target reads first: the results of the stages that no other stage follows.
@@ -138,74 +134,25 @@
 	}
 	var handles []string
 	for _, i := range e.route.LastStages() {
-		handles = append(handles, e.inputs.stages[i]...)
+		handles = append(handles, e.inputs[i]...)
 	}
 	return handles
 }
 
-// inputPlace returns the data centre that holds the most bytes of what the target reads first; "" when they are small.
-func (e *exchange) inputPlace() string {
-	if e.inputs == nil {
-		return ""
-	}
-	bytes := make(map[string]int64)
-	best := ""
-	for _, i := range e.route.LastStages() {
-		for _, handle := range e.inputs.stages[i] {
-			place := e.relay.Fleet.DataCentreOf(addressOf(handle))
-			bytes[place] += e.route.Stages[i].ResultBytes
-			if bytes[place] > bytes[best] {
-				best = place
-			}
-		}
-	}
-	if bytes[best] < largeInputs {
-		return ""
-	}
-	return best
-}
-
-// largeInputs is the size from which a call follows its inputs to their data centre, in bytes.
-const largeInputs = 100_000
-
-func addressOf(handle string) string {
-	for i := range handle {
-		if handle[i] == '/' {
-			return handle[:i]
-		}
-	}
-	return handle
-}
-
-// freeFollowed gives up the results that only other stages needed.
-func (e *exchange) freeFollowed() {
-	for i := range e.route.Stages {
-		for _, before := range e.route.Stages[i].After {
-			e.free(before)
-		}
-	}
-}
-
 // releaseInputs gives up all results that are left.
 func (e *exchange) releaseInputs() {
-	if e.inputs == nil {
-		return
-	}
-	for i := range e.inputs.stages {
-		e.free(i)
+	var handles []string
+	for _, stage := range e.inputs {
+		handles = append(handles, stage...)
 	}
-}
-
-func (e *exchange) free(stage int) {
-	if e.inputs.freed[stage] || len(e.inputs.stages[stage]) == 0 {
+	e.inputs = nil
+	if len(handles) == 0 {
 		return
 	}
-	e.inputs.freed[stage] = true
-	service, handles := e.route.Stages[stage].Service, e.inputs.stages[stage]
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		defer cancel()
-		e.relay.Stages.Free(ctx, service, handles)
+		e.relay.Stages.Free(ctx, e.call.ID, handles)
 	}()
 }
 
@@ -213,9 +160,19 @@
 func (e *exchange) refuseWithoutInputs(ctx context.Context, err error) {
 	if isGone(ctx) {
 		e.outcome = outcomeLeft
+		e.w.Abort()
 		return
 	}
-	e.refuse(radish.Refusal{Kind: radish.RefusalNotRun, RetryAfter: spread(capacityRetry), Reason: err.Error()})
+	retryAfter := spread(capacityRetry)
+	var refused *radishstage.RefusedError
+	if errors.As(err, &refused) {
+		retryAfter = spread(refused.RetryAfter)
+	}
+	if e.sends > 0 {
+		e.refuse(radish.Refusal{Kind: radish.RefusalFailed, Reason: err.Error()})
+		return
+	}
+	e.refuse(radish.Refusal{Kind: radish.RefusalNotRun, RetryAfter: retryAfter, Reason: err.Error()})
 }
 
 // isGone tells whether the caller has left, rather than that its time is up.
@@ -227,4 +184,3 @@
 	}
 	return err.Error()
 }
-
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -22,16 +22,14 @@
 	notReadyRetry = 500 * time.Millisecond
 	// capacityRetry is when a caller may come back to a service without a usable target.
 	capacityRetry = time.Second
-	// modelTime is about the time from the last stage's end to the first event of the answer.
-	modelTime = 300 * time.Millisecond
 )
 
 // StageRunner runs pieces of stages.
 type StageRunner interface {
-	// Run returns one result a piece.
-	Run(ctx context.Context, req *radishstage.Request) ([]radish.PieceResult, error)
-	// Free gives up results.
-	Free(ctx context.Context, service string, handles []string)
+	// Run returns the results; a *radishstage.RefusedError when there is no room for the plan.
+	Run(ctx context.Context, p *radishstage.Plan) (*radishstage.Result, error)
+	// Free gives up results of the call.
+	Free(ctx context.Context, callID string, handles []string)
 }
 
 // Relay answers calls; set the exported fields before first use.
@@ -61,8 +59,12 @@
 	// due is when the answer, or a stream's first event, must begin to be in time.
 	due time.Time
 
-	inputs *inputs
-	tried  map[string]bool
+	// inputs are the handles of the stages' results, by stage.
+	inputs [][]string
+	// near is the data centre of the engine that the prompt belongs to, weights the data centres' parts of such calls.
+	near    string
+	weights map[string]float64
+	tried   map[string]bool
 	// sends counts the attempts that may have run.
 	sends int
 	// lastEvent is the id of the last event that the caller has.
@@ -125,6 +127,7 @@
 // run has the stages run and the call answered.
 func (e *exchange) run(ctx context.Context) {
 	defer e.releaseInputs()
+	e.choosePlace()
 	if err := e.makeInputs(ctx); err != nil {
 		e.refuseWithoutInputs(ctx, err)
 		return
--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -117,9 +118,9 @@
 // ownersKept is how many VMs are named as owners of a key.
 const ownersKept = 3
 
-// owners returns the VMs in reach that batch the service, the first choice first.
-func (p *peers) owners(service string) []string {
-	return radish.RendezvousOwners(p.reachable(), "stage/"+service, ownersKept)
+// owners returns the VMs in reach that coordinate the shard, the first choice first.
+func (p *peers) owners(shard, shards int) []string {
+	return radish.RendezvousOwners(p.reachable(), fmt.Sprintf("stages/%d/%d", shard, shards), ownersKept)
 }
 
 // Run exchanges what is known with random peers until ctx ends.
@@ -249,14 +250,10 @@
 		return &radishpeerpb.Response{Body: &radishpeerpb.Response_Site{Site: p.heartbeat()}}, nil
 	case *radishpeerpb.Request_Records:
 		return p.answerRecords(body.Records), nil
-	case *radishpeerpb.Request_Pieces:
-		reply, err := p.router.Serve(ctx, body.Pieces)
-		if err != nil {
-			return nil, err
-		}
-		return &radishpeerpb.Response{Body: &radishpeerpb.Response_Pieces{Pieces: reply}}, nil
+	case *radishpeerpb.Request_Plan:
+		return &radishpeerpb.Response{Body: &radishpeerpb.Response_Plan{Plan: p.router.Serve(ctx, body.Plan)}}, nil
 	case *radishpeerpb.Request_Free:
-		p.router.Local(body.Free.GetService()).Free(body.Free.GetHandles())
+		p.router.Local(int(body.Free.GetShard()), int(body.Free.GetShards())).Free(body.Free.GetHandles())
 		return &radishpeerpb.Response{}, nil
 	default:
 		return nil, radish.ErrBadRequest
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -68,8 +68,8 @@
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 
-	mu       sync.Mutex
-	batchers map[string]*radishstage.Batcher
+	mu           sync.Mutex
+	coordinators map[[2]int]*radishstage.Coordinator
 }
 
 func (s *Server) build() error {
@@ -80,9 +80,9 @@
 	if s.Site.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Site.MemoryMB) * (1 << 20)))
 	}
-	s.batchers = make(map[string]*radishstage.Batcher)
+	s.coordinators = make(map[[2]int]*radishstage.Coordinator)
 	s.fleet = &radishfleet.Fleet{DataCentre: s.Site.DataCentre, ColdQuota: s.coldQuota}
-	s.beliefs = &beliefs{decoder: s.Decoder, mirror: &s.mirror, fleet: s.fleet, log: s.Log.Named("belief"), onChange: s.wakeBatchers}
+	s.beliefs = &beliefs{decoder: s.Decoder, mirror: &s.mirror, fleet: s.fleet, log: s.Log.Named("belief"), onChange: s.wakeCoordinators}
 	self := radish.VMRecord{
 		Name: s.Site.VM, Address: s.Site.PeerAddress, DataCentre: s.Site.DataCentre, Incarnation: time.Now().UnixMilli(),
 	}
@@ -91,7 +91,7 @@
 	}
 	s.peers.node = &radishpeer.Node{Name: self.Name, Handler: s.peers, Dial: dialPeer, Log: s.Log.Named("link")}
 	s.peers.router = &radishstage.Router{
-		Self: self.Name, Owners: s.peers.owners, Peers: s.peers.node, Local: s.batcher, Log: s.Log.Named("stage"),
+		Self: self.Name, Owners: s.peers.owners, Peers: s.peers.node, Local: s.coordinator, Shards: s.shards, Log: s.Log.Named("stage"),
 	}
 	s.relay = &radishrelay.Relay{
 		Config: s.beliefs.config.Load, Fleet: s.fleet, Forwarder: s.Forwarder, Stages: s.peers.router,
@@ -128,19 +128,19 @@
 	return 0
 }
 
-// batcher returns the VM's own batcher of the stage service.
-func (s *Server) batcher(service string) *radishstage.Batcher {
+// coordinator returns the VM's own coordinator of the shard.
+func (s *Server) coordinator(shard, shards int) *radishstage.Coordinator {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.batchers[service]
-	if b == nil {
-		b = &radishstage.Batcher{
-			Service: service, Fleet: s.fleet, Client: s.Stages, Log: s.Log.Named("batch"),
-			Batch: func() *radishroute.Batch { return s.batchOf(service) },
+	key := [2]int{shard, shards}
+	c := s.coordinators[key]
+	if c == nil {
+		c = &radishstage.Coordinator{
+			Fleet: s.fleet, Client: s.Stages, Batch: s.batchOf, Shard: shard, Shards: shards, Log: s.Log.Named("stage").With("shard", shard),
 		}
-		s.batchers[service] = b
+		s.coordinators[key] = c
 	}
-	return b
+	return c
 }
 
 func (s *Server) batchOf(service string) *radishroute.Batch {
@@ -151,15 +151,33 @@
 	return cfg.Services[service].Batch
 }
 
-func (s *Server) wakeBatchers() {
+// targetsPerShard is how many targets of each stage service one coordinator has at least.
+const targetsPerShard = 5
+
+// shards returns how many shards the stage targets are divided into.
+func (s *Server) shards() int {
+	cfg := s.beliefs.config.Load()
+	if cfg == nil {
+		return 1
+	}
+	var services []string
+	for name, service := range cfg.Services {
+		if service.Batch != nil {
+			services = append(services, name)
+		}
+	}
+	return max(1, s.fleet.LeastCount(services)/targetsPerShard)
+}
+
+func (s *Server) wakeCoordinators() {
 	s.mu.Lock()
-	batchers := make([]*radishstage.Batcher, 0, len(s.batchers))
-	for _, b := range s.batchers {
-		batchers = append(batchers, b)
+	coordinators := make([]*radishstage.Coordinator, 0, len(s.coordinators))
+	for _, c := range s.coordinators {
+		coordinators = append(coordinators, c)
 	}
 	s.mu.Unlock()
-	for _, b := range batchers {
-		b.Wake()
+	for _, c := range coordinators {
+		c.Wake()
 	}
 }
 
--- /dev/null
+++ b/internal/radishstage/coordinator.go
@@ -0,0 +1,310 @@
+package radishstage
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishbatch"
+	"radishramp.example/radishramp/pkg/radishfleet"
+	"radishramp.example/radishramp/pkg/radishroute"
+)
+
+const (
+	// recheckInterval is how often waiting pieces are looked at when nothing happens.
+	recheckInterval = 50 * time.Millisecond
+	// maxTries is how many calls a piece may be part of.
+	maxTries = 4
+	// lateShare is the part of the time left that a late call may be expected to take to be let in.
+	lateShare = 0.5
+	// retryFloor is the least time after which a refused call may come back.
+	retryFloor = 300 * time.Millisecond
+	// usualLoad is the part of a full call that a usual call holds.
+	usualLoad = 0.5
+	// fullEfficiency is the part of the targets' highest rate that is counted on.
+	fullEfficiency = 0.85
+	// roomHold is about how long a result takes up room after its call, until the next stage has read it.
+	roomHold = 700 * time.Millisecond
+)
+
+// Coordinator runs the stages of calls at the targets of one shard in shared calls; set the exported fields before use.
+type Coordinator struct {
+	Fleet  *radishfleet.Fleet
+	Client radish.StageClient
+	// Batch returns how a target of the service works; nil while the service is not configured.
+	Batch func(service string) *radishroute.Batch
+	// Shard of Shards is the part of each service's targets that this coordinator uses.
+	Shard, Shards int
+	Log           hclog.Logger
+
+	mu      sync.Mutex
+	jobs    map[*job]bool
+	owners  map[*radishbatch.Item]*job
+	queues  map[string]*radishbatch.Queue
+	slots   map[string]*slot
+	recheck *time.Timer
+}
+
+// Run runs the plan's stages; a *RefusedError when there is no room for them, ErrFailed when a piece was not made. When
+// ctx ends, pieces that wait are dropped.
+func (c *Coordinator) Run(ctx context.Context, p *Plan) (*Result, error) {
+	if err := p.check(); err != nil {
+		return nil, err
+	}
+	j, err := c.admit(p)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-j.done:
+		if j.err != nil {
+			return nil, j.err
+		}
+		return &Result{Handles: j.remaining()}, nil
+	case <-ctx.Done():
+		c.mu.Lock()
+		c.end(j, ctx.Err())
+		c.mu.Unlock()
+		return nil, ctx.Err()
+	}
+}
+
+// admit starts the plan unless the stages have no room for it.
+func (c *Coordinator) admit(p *Plan) (*job, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.init()
+	now := time.Now()
+	if err := c.refuse(p, now); err != nil {
+		return nil, err
+	}
+	j := newJob(p, c.usualTime)
+	c.jobs[j] = true
+	c.advance(j)
+	c.dispatch(now)
+	return j, nil
+}
+
+func (c *Coordinator) init() {
+	if c.jobs != nil {
+		return
+	}
+	c.jobs = make(map[*job]bool)
+	c.owners = make(map[*radishbatch.Item]*job)
+	c.queues = make(map[string]*radishbatch.Queue)
+	c.slots = make(map[string]*slot)
+}
+
+// refuse tells whether the plan cannot be done in time behind the calls that can, nor late behind all of them.
+func (c *Coordinator) refuse(p *Plan, now time.Time) error {
+	needs := p.needs()
+	took, ok := radishbatch.Finish(c.lines(p, now, true), needs)
+	if !ok {
+		return c.refused(p, &RefusedError{RetryAfter: time.Second, Reason: "a stage has no target"}, 0)
+	}
+	if !now.Add(took).After(p.Due) {
+		return nil
+	}
+	took, _ = radishbatch.Finish(c.lines(p, now, false), needs)
+	left := p.Deadline.Sub(now)
+	if took < time.Duration(lateShare*float64(left)) {
+		return nil
+	}
+	return c.refused(p, &RefusedError{RetryAfter: max(retryFloor, took/2), Reason: fmt.Sprintf("stages need %v, %v are left", took.Round(time.Millisecond), left.Round(time.Millisecond))}, took)
+}
+
+func (c *Coordinator) refused(p *Plan, err *RefusedError, took time.Duration) error {
+	c.Log.Info("plan refused", "id", p.CallID, "reason", err.Reason, "expected_ms", took.Milliseconds(), "jobs", len(c.jobs), "retry_after_ms", err.RetryAfter.Milliseconds())
+	return err
+}
+
+// lines describes what lies before the targets of the plan's services: all of it, or what can be in time.
+func (c *Coordinator) lines(p *Plan, now time.Time, inTime bool) map[string]radishbatch.Line {
+	lines := make(map[string]radishbatch.Line)
+	coming := c.coming(now, inTime)
+	for _, s := range p.Stages {
+		if _, ok := lines[s.Service]; ok || s.Pieces == 0 {
+			continue
+		}
+		batch := c.Batch(s.Service)
+		if batch == nil {
+			continue
+		}
+		line := radishbatch.Line{Coming: coming[s.Service], CallTime: usualTime(batch)}
+		if q := c.queues[s.Service]; q != nil {
+			line.Waiting = q.Len()
+			if inTime {
+				line.Waiting = q.InTime(now, batch.CallTime)
+			}
+		}
+		c.addTargets(&line, s, batch, now)
+		lines[s.Service] = line
+	}
+	return lines
+}
+
+func (c *Coordinator) addTargets(line *radishbatch.Line, s Stage, batch *radishroute.Batch, now time.Time) {
+	full := batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
+	perTarget := float64(batch.MaxPieces) / full.Seconds()
+	if s.ResultBytes > 0 {
+		byRoom := float64(batch.RoomBytes) / float64(s.ResultBytes) / (full + roomHold).Seconds()
+		perTarget = min(perTarget, byRoom)
+	}
+	for _, t := range c.usable(s.Service, now) {
+		slot := c.slotOf(t)
+		line.Targets++
+		if slot.calls >= batch.Slots {
+			line.Busy++
+		}
+		line.PerSecond += fullEfficiency * perTarget / max(1, slot.slowness)
+	}
+}
+
+// coming counts, by service, the pieces that the jobs let in have not queued yet.
+func (c *Coordinator) coming(now time.Time, inTime bool) map[string]int {
+	coming := make(map[string]int)
+	for j := range c.jobs {
+		if inTime && j.plan.Due.Before(now) {
+			continue
+		}
+		for i := range j.stages {
+			if !j.stages[i].queued {
+				coming[j.plan.Stages[i].Service] += j.plan.Stages[i].Pieces
+			}
+		}
+	}
+	return coming
+}
+
+func usualTime(batch *radishroute.Batch) time.Duration {
+	return batch.CallTime + time.Duration(usualLoad*float64(batch.MaxPieces)*float64(batch.PieceTime))
+}
+
+// usualTime is about how long a stage of the service takes without a queue.
+func (c *Coordinator) usualTime(service string) time.Duration {
+	if batch := c.Batch(service); batch != nil {
+		return usualTime(batch)
+	}
+	return 0
+}
+
+// advance queues the stages of the job whose inputs are there, and ends it when all are made.
+func (c *Coordinator) advance(j *job) {
+	if j.isDone() {
+		c.end(j, nil)
+		return
+	}
+	for _, i := range j.ready() {
+		items := j.enqueue(i)
+		for _, item := range items {
+			c.owners[item] = j
+		}
+		c.queueOf(j.plan.Stages[i].Service).Add(items...)
+	}
+}
+
+func (c *Coordinator) queueOf(service string) *radishbatch.Queue {
+	q := c.queues[service]
+	if q == nil {
+		q = &radishbatch.Queue{}
+		c.queues[service] = q
+	}
+	return q
+}
+
+// end ends the job; on an error what it has made is given up.
+func (c *Coordinator) end(j *job, err error) {
+	if j.ended {
+		return
+	}
+	j.ended, j.err = true, err
+	delete(c.jobs, j)
+	for item := range j.items {
+		delete(c.owners, item)
+	}
+	if err != nil {
+		for i, stage := range j.plan.Stages {
+			if j.stages[i].queued && j.stages[i].left > 0 {
+				c.queueOf(stage.Service).Remove(func(item *radishbatch.Item) bool { return j.items[item] })
+			}
+			if !j.stages[i].freed {
+				c.giveUp(made(j.stages[i].handles))
+			}
+		}
+		c.Log.Info("plan failed", "id", j.plan.CallID, "error", err.Error())
+	}
+	close(j.done)
+}
+
+// Wake looks at the waiting pieces again, as when targets have changed.
+func (c *Coordinator) Wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.init()
+	c.dispatch(time.Now())
+}
+
+// dispatch starts calls at targets with room for one.
+func (c *Coordinator) dispatch(now time.Time) {
+	waiting := 0
+	for service, q := range c.queues {
+		if q.Len() == 0 {
+			continue
+		}
+		if batch := c.Batch(service); batch != nil {
+			c.dispatchService(service, q, batch, now)
+		}
+		waiting += q.Len()
+	}
+	c.scheduleRecheck(waiting)
+}
+
+func (c *Coordinator) dispatchService(service string, q *radishbatch.Queue, batch *radishroute.Batch, now time.Time) {
+	for _, item := range q.Expire(now, batch.CallTime) {
+		c.failItem(item, radish.PieceLate)
+	}
+	usable := c.usable(service, now)
+	places := make(map[string]bool)
+	for _, t := range usable {
+		places[t.DataCentre] = true
+	}
+	idle := c.idle(usable, batch, now)
+	for n, t := range idle {
+		call := radishbatch.Call{
+			Target: t.Name, DataCentre: t.DataCentre, MaxPieces: batch.MaxPieces, RoomBytes: c.slotOf(t).room(batch, now),
+			CallTime: batch.CallTime, PieceTime: batch.PieceTime, IdleTargets: len(idle) - n, UsableTargets: len(usable), Places: places,
+		}
+		if items := q.Take(call, now); len(items) > 0 {
+			c.start(t, service, batch, items, now)
+		}
+	}
+}
+
+func (c *Coordinator) failItem(item *radishbatch.Item, outcome radish.PieceOutcome) {
+	if j := c.owners[item]; j != nil {
+		c.end(j, fmt.Errorf("%w: stage %d piece %d: %s", ErrFailed, item.Piece.Stage, item.Piece.Number, outcome))
+	}
+}
+
+func (c *Coordinator) scheduleRecheck(waiting int) {
+	if waiting == 0 {
+		return
+	}
+	if c.recheck == nil {
+		c.recheck = time.AfterFunc(recheckInterval, c.Wake)
+		return
+	}
+	c.recheck.Reset(recheckInterval)
+}
+
+// Free gives up results, which makes room at their makers.
+func (c *Coordinator) Free(handles []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.init()
+	c.giveUp(handles)
+}
--- a/internal/radishstage/doc.go
+++ b/internal/radishstage/doc.go
@@ -1,3 +1,3 @@
-// Package radishstage runs pieces of stages: one VM batches the pieces of a stage service for all VMs, and the others
-// send theirs to it.
+// Package radishstage runs the stages of calls: for each shard of the stage targets one VM, the coordinator, batches the
+// pieces of all VMs' calls, and the others send their calls' plans to it.
 package radishstage
--- a/internal/radishstage/router.go
+++ b/internal/radishstage/router.go
@@ -12,7 +12,7 @@
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
 )
 
-// maxOwners is how many VMs are asked in turn to batch the pieces before the own VM runs them.
+// maxOwners is how many VMs are asked in turn to coordinate a plan before the own VM does.
 const maxOwners = 3
 
 // PeerCaller calls other VMs.
@@ -21,108 +21,124 @@
 	Call(ctx context.Context, name string, req *radishpeerpb.Request) (*radishpeerpb.Response, error)
 }
 
-// Router runs pieces at the VM that batches their service; set the exported fields before first use.
+// Router has plans run by the VM that coordinates their shard; set the exported fields before first use.
 type Router struct {
 	// Self is the VM's own name.
 	Self string
-	// Owners returns the VMs in reach, the one that batches the service first.
-	Owners func(service string) []string
+	// Owners returns the VMs in reach that coordinate the shard, the first choice first.
+	Owners func(shard, shards int) []string
+	// Shards returns how many shards the stage targets are divided into.
+	Shards func() int
 	Peers  PeerCaller
-	// Local returns the VM's own batcher of the service.
-	Local func(service string) *Batcher
+	// Local returns the VM's own coordinator of the shard.
+	Local func(shard, shards int) *Coordinator
 	Log   hclog.Logger
 }
 
-// Run runs the request's pieces and returns one result a piece.
-func (r *Router) Run(ctx context.Context, req *Request) ([]radish.PieceResult, error) {
-	owners := r.Owners(req.Service)
+// Run runs the plan; a *RefusedError when there is no room for it.
+func (r *Router) Run(ctx context.Context, p *Plan) (*Result, error) {
+	shards := r.Shards()
+	shard := shardOf(p.CallID, shards)
+	owners := r.Owners(shard, shards)
 	for _, owner := range owners[:min(len(owners), maxOwners)] {
 		if owner == r.Self {
 			break
 		}
-		results, err := r.ask(ctx, owner, req)
-		if err == nil || ctx.Err() != nil {
-			return results, err
+		result, err := r.ask(ctx, owner, shard, shards, p)
+		if !errors.Is(err, radish.ErrUnavailable) || ctx.Err() != nil {
+			return result, err
 		}
-		r.Log.Warn("VM that batches the stage did not answer", "peer", owner, "service", req.Service, "id", req.Pieces[0].CallID, "error", err.Error())
+		r.Log.Warn("coordinator did not answer", "peer", owner, "shard", shard, "id", p.CallID, "error", err.Error())
 	}
-	return r.Local(req.Service).Run(ctx, req)
+	return r.Local(shard, shards).Run(ctx, p)
 }
 
-func (r *Router) ask(ctx context.Context, owner string, req *Request) ([]radish.PieceResult, error) {
-	res, err := r.Peers.Call(ctx, owner, &radishpeerpb.Request{Body: &radishpeerpb.Request_Pieces{Pieces: encode(req, time.Now())}})
+func (r *Router) ask(ctx context.Context, owner string, shard, shards int, p *Plan) (*Result, error) {
+	body := encode(p, time.Now())
+	body.Shard, body.Shards = uint32(shard), uint32(shards)
+	res, err := r.Peers.Call(ctx, owner, &radishpeerpb.Request{Body: &radishpeerpb.Request_Plan{Plan: body}})
 	if err != nil {
 		return nil, err
 	}
-	outcomes := res.GetPieces().GetOutcomes()
-	if len(outcomes) != len(req.Pieces) {
-		return nil, fmt.Errorf("%w: %d outcomes for %d pieces", radish.ErrUnavailable, len(outcomes), len(req.Pieces))
+	reply := res.GetPlan()
+	switch {
+	case reply.GetRetryAfterMs() > 0:
+		return nil, &RefusedError{RetryAfter: time.Duration(reply.GetRetryAfterMs()) * time.Millisecond, Reason: reply.GetRefusal()}
+	case reply.GetRefusal() != "":
+		return nil, fmt.Errorf("%w: %s", ErrFailed, reply.GetRefusal())
+	case len(reply.GetStages()) != len(p.Stages):
+		return nil, fmt.Errorf("%w: results of %d stages for %d", radish.ErrUnavailable, len(reply.GetStages()), len(p.Stages))
 	}
-	results := make([]radish.PieceResult, len(outcomes))
-	for i, o := range outcomes {
-		results[i] = radish.PieceResult{Outcome: radish.PieceOutcome(o.GetOutcome()), Handle: o.GetHandle()}
+	result := &Result{Handles: make([][]string, len(p.Stages))}
+	for i, s := range reply.GetStages() {
+		result.Handles[i] = s.GetHandles()
 	}
-	return results, nil
+	return result, nil
 }
 
-// Free gives up results of the service's targets.
-func (r *Router) Free(ctx context.Context, service string, handles []string) {
-	owners := r.Owners(service)
-	if len(owners) == 0 || owners[0] == r.Self {
-		r.Local(service).Free(handles)
-		return
-	}
-	req := &radishpeerpb.FreeRequest{Service: service, Handles: handles}
-	if _, err := r.Peers.Call(ctx, owners[0], &radishpeerpb.Request{Body: &radishpeerpb.Request_Free{Free: req}}); err != nil {
-		r.Local(service).Free(handles)
+// Free gives up the results that a call does not need any more.
+func (r *Router) Free(ctx context.Context, callID string, handles []string) {
+	shards := r.Shards()
+	shard := shardOf(callID, shards)
+	owners := r.Owners(shard, shards)
+	if len(owners) > 0 && owners[0] != r.Self {
+		req := &radishpeerpb.FreeRequest{Handles: handles, Shard: uint32(shard), Shards: uint32(shards)}
+		_, err := r.Peers.Call(ctx, owners[0], &radishpeerpb.Request{Body: &radishpeerpb.Request_Free{Free: req}})
+		if err == nil {
+			return
+		}
+		r.Log.Info("coordinator not told of freed results", "peer", owners[0], "id", callID, "error", err.Error())
 	}
+	r.Local(shard, shards).Free(handles)
 }
 
-// Serve answers a peer that asks for pieces.
-func (r *Router) Serve(ctx context.Context, p *radishpeerpb.PieceRequest) (*radishpeerpb.PieceReply, error) {
-	req := decode(p, time.Now())
-	if len(req.Pieces) == 0 {
-		return nil, errNoPieces
-	}
-	results, err := r.Local(req.Service).Run(ctx, req)
-	if err != nil {
-		return nil, err
+// Serve answers a peer that asks for a plan to be run.
+func (r *Router) Serve(ctx context.Context, body *radishpeerpb.PlanRequest) *radishpeerpb.PlanReply {
+	result, err := r.Local(int(body.GetShard()), int(body.GetShards())).Run(ctx, decode(body, time.Now()))
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return &radishpeerpb.PlanReply{Refusal: refused.Reason, RetryAfterMs: uint32(max(1, refused.RetryAfter.Milliseconds()))}
+	case err != nil:
+		return &radishpeerpb.PlanReply{Refusal: err.Error()}
 	}
-	reply := &radishpeerpb.PieceReply{}
-	for _, result := range results {
-		reply.Outcomes = append(reply.Outcomes, &radishpeerpb.PieceOutcome{Outcome: string(result.Outcome), Handle: result.Handle})
+	reply := &radishpeerpb.PlanReply{}
+	for _, handles := range result.Handles {
+		reply.Stages = append(reply.Stages, &radishpeerpb.StageResults{Handles: handles})
 	}
-	return reply, nil
+	return reply
 }
 
-var errNoPieces = errors.New("request names no pieces")
-
 // encode turns times into spans, since the clocks of VMs differ.
-func encode(req *Request, now time.Time) *radishpeerpb.PieceRequest {
-	first := req.Pieces[0]
-	p := &radishpeerpb.PieceRequest{
-		Service: req.Service, CallId: first.CallID, Stage: uint32(first.Stage), Key: first.Key, Inputs: first.Inputs,
-		DueMs: span(req.Due, now), LeftMs: span(req.Deadline, now), ResultBytes: uint64(req.ResultBytes), Near: req.Near,
+func encode(p *Plan, now time.Time) *radishpeerpb.PlanRequest {
+	body := &radishpeerpb.PlanRequest{
+		CallId: p.CallID, Key: p.Key, DueMs: span(p.Due, now), LeftMs: span(p.Deadline, now), Near: p.Near, Worth: float32(p.Worth),
 	}
-	for _, piece := range req.Pieces {
-		p.Numbers = append(p.Numbers, uint32(piece.Number))
+	for _, s := range p.Stages {
+		stage := &radishpeerpb.PlanStage{Service: s.Service, Pieces: uint32(s.Pieces), ResultBytes: uint64(s.ResultBytes)}
+		for _, before := range s.After {
+			stage.After = append(stage.After, uint32(before))
+		}
+		body.Stages = append(body.Stages, stage)
 	}
-	return p
+	return body
 }
 
 func span(until, now time.Time) uint32 {
 	return uint32(max(0, until.Sub(now).Milliseconds()))
 }
 
-func decode(p *radishpeerpb.PieceRequest, now time.Time) *Request {
-	req := &Request{
-		Service: p.GetService(), Due: now.Add(time.Duration(p.GetDueMs()) * time.Millisecond),
-		Deadline: now.Add(time.Duration(p.GetLeftMs()) * time.Millisecond), ResultBytes: int64(p.GetResultBytes()), Near: p.GetNear(),
+func decode(body *radishpeerpb.PlanRequest, now time.Time) *Plan {
+	p := &Plan{
+		CallID: body.GetCallId(), Key: body.GetKey(), Due: now.Add(time.Duration(body.GetDueMs()) * time.Millisecond),
+		Deadline: now.Add(time.Duration(body.GetLeftMs()) * time.Millisecond), Near: body.GetNear(), Worth: float64(body.GetWorth()),
 	}
-	for _, number := range p.GetNumbers() {
-		req.Pieces = append(req.Pieces, radish.Piece{
-			CallID: p.GetCallId(), Stage: int(p.GetStage()), Number: int(number), Key: p.GetKey(), Inputs: p.GetInputs(),
-		})
+	for _, s := range body.GetStages() {
+		stage := Stage{Service: s.GetService(), Pieces: int(s.GetPieces()), ResultBytes: int64(s.GetResultBytes())}
+		for _, before := range s.GetAfter() {
+			stage.After = append(stage.After, int(before))
+		}
+		p.Stages = append(p.Stages, stage)
 	}
-	return req
+	return p
 }
--- /dev/null
+++ b/internal/radishstage/slot.go
@@ -0,0 +1,271 @@
+package radishstage
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishbatch"
+	"radishramp.example/radishramp/pkg/radishroute"
+)
+
+const (
+	// freeDelay collects results that are given up at about the same time into one call.
+	freeDelay = 20 * time.Millisecond
+	// freeTimeout bounds the call that gives results up.
+	freeTimeout = time.Second
+	// slowFactor and slowSlack are after how much more than the expected time of a call its pieces are also sent elsewhere.
+	slowFactor = 1.5
+	slowSlack  = 150 * time.Millisecond
+	// giveUpFactor is after how many times the expected time a call is given up.
+	giveUpFactor = 6
+	// fullPause is how long a target that turned a call away is left alone.
+	fullPause = 100 * time.Millisecond
+	// slownessWeight is the weight of the newest call in the average of a target's slowness.
+	slownessWeight = 0.5
+	// slownessStep is the difference in slowness below which targets count as alike.
+	slownessStep = 0.5
+)
+
+// slot is what the coordinator knows of one target's calls and results.
+type slot struct {
+	target  radish.Target
+	calls   int
+	blocked time.Time
+	results map[string]held
+	// slowness is the moving average of the time of calls in parts of the expected time.
+	slowness float64
+	freeing  []string
+	freeSoon bool
+}
+
+// held is a result that takes up room at its maker.
+type held struct {
+	bytes int64
+	until time.Time
+}
+
+func (c *Coordinator) slotOf(t radish.Target) *slot {
+	s := c.slots[t.Address]
+	if s == nil || s.target.Name != t.Name || s.target.Started != t.Started {
+		s = &slot{target: t, results: make(map[string]held), slowness: 1}
+		c.slots[t.Address] = s
+	}
+	return s
+}
+
+// room is how much of the target's room for results is not taken by results that are known here.
+func (s *slot) room(batch *radishroute.Batch, now time.Time) int64 {
+	room := batch.RoomBytes
+	for handle, h := range s.results {
+		if now.After(h.until) {
+			delete(s.results, handle)
+			continue
+		}
+		room -= h.bytes
+	}
+	return room
+}
+
+// usable returns the targets of the service in the coordinator's shard that may take work.
+func (c *Coordinator) usable(service string, now time.Time) []radish.Target {
+	targets := c.Fleet.Usable(service, now)
+	if c.Shards <= 1 {
+		return targets
+	}
+	return slices.DeleteFunc(targets, func(t radish.Target) bool { return shardOf(t.Name, c.Shards) != c.Shard })
+}
+
+// shardOf returns the shard of a call or target by its name.
+func shardOf(name string, shards int) int {
+	if shards <= 1 {
+		return 0
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return int(h.Sum32() % uint32(shards))
+}
+
+// idle returns the targets that can take a call now, those that have been fast first.
+func (c *Coordinator) idle(usable []radish.Target, batch *radishroute.Batch, now time.Time) []radish.Target {
+	var idle []radish.Target
+	for _, t := range usable {
+		if s := c.slotOf(t); s.calls < batch.Slots && !now.Before(s.blocked) {
+			idle = append(idle, t)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b radish.Target) int {
+		return cmp.Compare(int(c.slotOf(a).slowness/slownessStep), int(c.slotOf(b).slowness/slownessStep))
+	})
+	return idle
+}
+
+func (c *Coordinator) start(t radish.Target, service string, batch *radishroute.Batch, items []*radishbatch.Item, now time.Time) {
+	c.slotOf(t).calls++
+	expected := batch.CallTime + time.Duration(len(items))*batch.PieceTime
+	pieces := make([]radish.Piece, len(items))
+	for i, item := range items {
+		item.Tries++
+		item.Avoid = t.Name
+		pieces[i] = item.Piece
+		pieces[i].Left = item.Deadline.Sub(now)
+	}
+	slow := time.AfterFunc(time.Duration(slowFactor*float64(expected))+slowSlack, func() { c.sendElsewhere(t, service, items) })
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), giveUpFactor*expected)
+		defer cancel()
+		results, err := c.Client.RunPieces(ctx, t, pieces)
+		slow.Stop()
+		call := &finished{target: t, service: service, batch: batch, items: items, results: results, err: err, took: time.Since(now), expected: expected}
+		c.finish(call)
+	}()
+}
+
+// finished is a call that has ended.
+type finished struct {
+	target   radish.Target
+	service  string
+	batch    *radishroute.Batch
+	items    []*radishbatch.Item
+	results  []radish.PieceResult
+	err      error
+	took     time.Duration
+	expected time.Duration
+}
+
+// sendElsewhere queues the pieces of a slow call again: a piece may be made twice, and the first result counts.
+func (c *Coordinator) sendElsewhere(t radish.Target, service string, items []*radishbatch.Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slotOf(t).slowness++
+	c.Log.Warn("stage call is slow, sending its pieces elsewhere too", "target", t.Name, "service", service, "pieces", len(items))
+	c.requeue(service, items)
+	c.dispatch(time.Now())
+}
+
+func (c *Coordinator) requeue(service string, items []*radishbatch.Item) {
+	for _, item := range items {
+		if c.owners[item] == nil {
+			continue
+		}
+		if item.Tries >= maxTries {
+			c.failItem(item, radish.PieceFailed)
+			continue
+		}
+		q := c.queueOf(service)
+		// A piece may be queued already, as when its call was slow and then failed.
+		q.Remove(func(other *radishbatch.Item) bool { return other == item })
+		q.Add(item)
+	}
+}
+
+func (c *Coordinator) finish(call *finished) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	s := c.slotOf(call.target)
+	s.calls = max(0, s.calls-1)
+	c.Log.Debug("stage call ended", "target", call.target.Name, "service", call.service, "pieces", len(call.items),
+		"took_ms", call.took.Milliseconds(), "expected_ms", call.expected.Milliseconds(), "waiting", c.queueOf(call.service).Len(), "error", errorText(call.err))
+	if call.err != nil {
+		c.finishFailed(call, s, now)
+	} else {
+		s.slowness += slownessWeight * (float64(call.took)/float64(call.expected) - s.slowness)
+		c.Fleet.Report(call.target.Name, false, now)
+		for i, item := range call.items {
+			c.finishPiece(call, s, item, call.results[i], now)
+		}
+	}
+	c.dispatch(now)
+}
+
+func (c *Coordinator) finishFailed(call *finished, s *slot, now time.Time) {
+	s.blocked = now.Add(fullPause)
+	if errors.Is(call.err, radish.ErrRejected) {
+		for _, item := range call.items {
+			item.Tries--
+			item.Avoid = ""
+		}
+	} else {
+		c.Fleet.Report(call.target.Name, true, now)
+	}
+	c.Log.Warn("stage call failed", "target", call.target.Name, "service", call.service, "pieces", len(call.items), "error", call.err.Error())
+	c.requeue(call.service, call.items)
+}
+
+func (c *Coordinator) finishPiece(call *finished, s *slot, item *radishbatch.Item, r radish.PieceResult, now time.Time) {
+	j := c.owners[item]
+	if r.Outcome == radish.PieceDone {
+		s.results[r.Handle] = held{bytes: item.Bytes, until: now.Add(call.batch.ResultLife)}
+		if j == nil {
+			c.giveUp([]string{r.Handle})
+			return
+		}
+		delete(c.owners, item)
+		// A piece that was also sent elsewhere need not wait any more.
+		c.queueOf(call.service).Remove(func(other *radishbatch.Item) bool { return other == item })
+		c.giveUp(j.take(item, r.Handle, now.Add(call.batch.ResultLife)))
+		c.advance(j)
+		return
+	}
+	c.Log.Info("piece not made", "id", item.Piece.CallID, "target", call.target.Name, "service", call.service, "stage", item.Piece.Stage, "outcome", string(r.Outcome))
+	switch r.Outcome {
+	case radish.PieceNoRoom:
+		s.blocked = now.Add(fullPause)
+		item.Tries--
+		c.requeue(call.service, []*radishbatch.Item{item})
+	case radish.PieceFailed:
+		c.requeue(call.service, []*radishbatch.Item{item})
+	default:
+		c.failItem(item, r.Outcome)
+	}
+}
+
+// giveUp frees results soon; their room counts as taken until then.
+func (c *Coordinator) giveUp(handles []string) {
+	for _, handle := range handles {
+		address, _, _ := strings.Cut(handle, "/")
+		s := c.slots[address]
+		if s == nil {
+			continue
+		}
+		s.freeing = append(s.freeing, handle)
+		if !s.freeSoon {
+			s.freeSoon = true
+			time.AfterFunc(freeDelay, func() { c.sendFree(address, s) })
+		}
+	}
+}
+
+func (c *Coordinator) sendFree(address string, s *slot) {
+	c.mu.Lock()
+	handles := s.freeing
+	s.freeing, s.freeSoon = nil, false
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	err := c.Client.FreePieces(ctx, address, handles)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		// A result that is not given up ends by itself after its lifetime.
+		c.Log.Info("results not given up", "address", address, "results", len(handles), "error", err.Error())
+		return
+	}
+	for _, handle := range handles {
+		delete(s.results, handle)
+	}
+	c.dispatch(time.Now())
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/pkg/radishbatch/queue.go
+++ b/pkg/radishbatch/queue.go
@@ -8,8 +8,16 @@
 	"radishramp.example/radishramp/pkg/radish"
 )
 
-// nearBonus is how much earlier than others a piece counts as due at a target in the data centre where it is needed.
-const nearBonus = 250 * time.Millisecond
+const (
+	// nearBonus is how much earlier than others a piece counts as due at a target in the data centre where it is needed.
+	nearBonus = 250 * time.Millisecond
+	// LargeResult is the size from which a result is made where it is needed, in bytes.
+	LargeResult = 100_000
+	// moveSlack is the time to spare below which a large result is made in another data centre after all.
+	moveSlack = 300 * time.Millisecond
+	// expirySlack is the time before its inputs end by which a late piece goes first.
+	expirySlack = time.Second
+)
 
 // Item is one piece that waits.
 type Item struct {
@@ -17,10 +25,14 @@
 	// Due is when the result must be there for the call to be in time, Deadline when it is of no more use.
 	Due      time.Time
 	Deadline time.Time
+	// Expires is when the first of the piece's inputs ends; zero when it has none.
+	Expires time.Time
 	// Bytes is about the size of the result.
 	Bytes int64
 	// Near is the data centre in which the result is needed; "" when it does not matter.
 	Near string
+	// Worth is what the call is worth against others.
+	Worth float64
 	// Tries counts the calls that the piece was part of, Avoid names the target of the last one.
 	Tries int
 	Avoid string
@@ -37,6 +49,17 @@
 // Len returns how many pieces wait.
 func (q *Queue) Len() int { return len(q.items) }
 
+// InTime returns how many of the waiting pieces can still be in time when a call takes so long.
+func (q *Queue) InTime(now time.Time, call time.Duration) int {
+	n := 0
+	for _, i := range q.items {
+		if !i.Due.Before(now.Add(call)) {
+			n++
+		}
+	}
+	return n
+}
+
 // Remove drops the pieces for which gone is true and returns them.
 func (q *Queue) Remove(gone func(*Item) bool) []*Item {
 	var removed []*Item
@@ -68,6 +91,8 @@
 	// IdleTargets is how many targets, this one included, wait for work, UsableTargets how many there are.
 	IdleTargets   int
 	UsableTargets int
+	// Places are the data centres that have usable targets.
+	Places map[string]bool
 }
 
 // Take removes and returns the pieces of the next call.
@@ -78,41 +103,78 @@
 	// With more targets idle than calls waiting, several short calls end sooner than one long one.
 	share := (len(q.items) + max(1, c.IdleTargets) - 1) / max(1, c.IdleTargets)
 	limit := min(c.MaxPieces, share)
-	inTime := now.Add(c.CallTime + time.Duration(limit)*c.PieceTime)
+	end := now.Add(c.CallTime + time.Duration(limit)*c.PieceTime)
 	ordered := slices.Clone(q.items)
-	slices.SortStableFunc(ordered, func(a, b *Item) int {
-		if lateA, lateB := a.Due.Before(inTime), b.Due.Before(inTime); lateA != lateB {
-			if lateA {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(c.rank(a), c.rank(b))
-	})
+	slices.SortStableFunc(ordered, func(a, b *Item) int { return c.compare(a, b, now, end) })
+	chosen := make(map[*Item]bool, limit)
 	var taken []*Item
 	room := c.RoomBytes
 	for _, i := range ordered {
 		if len(taken) == limit {
 			break
 		}
-		if i.Avoid == c.Target && c.UsableTargets > 1 || i.Bytes > room {
+		if i.Avoid == c.Target && c.UsableTargets > 1 || i.Bytes > room || c.belongsElsewhere(i, end) {
 			continue
 		}
 		room -= i.Bytes
 		taken = append(taken, i)
-	}
-	chosen := make(map[*Item]bool, len(taken))
-	for _, i := range taken {
 		chosen[i] = true
 	}
 	q.items = slices.DeleteFunc(q.items, func(i *Item) bool { return chosen[i] })
 	return taken
 }
 
-func (c *Call) rank(i *Item) int64 {
-	due := i.Due
+// Ranks of pieces: those that can be in time, those of late calls that have results already, other late ones.
+const (
+	rankInTime = iota
+	rankStarted
+	rankLate
+)
+
+func rank(i *Item, now, end time.Time) int {
+	switch {
+	case !i.Due.Before(end):
+		return rankInTime
+	case i.Expires.IsZero():
+		return rankLate
+	case now.Add(expirySlack).After(i.Expires):
+		// What the call has cost so far would be lost.
+		return rankInTime
+	default:
+		return rankStarted
+	}
+}
+
+func (c *Call) compare(a, b *Item, now, end time.Time) int {
+	ra, rb := rank(a, now, end), rank(b, now, end)
+	if ra != rb {
+		return cmp.Compare(ra, rb)
+	}
+	switch ra {
+	case rankInTime:
+		return c.effectiveDue(a).Compare(c.effectiveDue(b))
+	case rankStarted:
+		return a.Expires.Compare(b.Expires)
+	default:
+		if a.Worth != b.Worth {
+			return cmp.Compare(b.Worth, a.Worth)
+		}
+		return a.Due.Compare(b.Due)
+	}
+}
+
+func (c *Call) effectiveDue(i *Item) time.Time {
 	if i.Near == c.DataCentre {
-		due = due.Add(-nearBonus)
+		return i.Due.Add(-nearBonus)
+	}
+	return i.Due
+}
+
+// belongsElsewhere tells whether a large result should be made by a target of the data centre that needs it.
+func (c *Call) belongsElsewhere(i *Item, end time.Time) bool {
+	if i.Bytes < LargeResult || i.Near == "" || i.Near == c.DataCentre || !c.Places[i.Near] {
+		return false
 	}
-	return due.UnixNano()
+	spare := i.Due.Sub(end)
+	return spare < 0 || spare > moveSlack
 }
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -1,6 +1,7 @@
 package radishfleet
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -122,6 +123,8 @@
 	Affinity string
 	// Near is the data centre of the call's inputs; "" when it does not matter.
 	Near string
+	// Weights are the data centres' parts of the calls by affinity; nil treats all engines alike.
+	Weights map[string]float64
 	// ColdLimit tells whether a cold target of the service bears only a bounded rate.
 	ColdLimit bool
 }
@@ -231,7 +234,7 @@
 const (
 	// affinityFactor and affinitySlack bound the load of a prompt's own engine against the mean.
 	affinityFactor = 1.3
-	affinitySlack  = 2.0
+	affinitySlack  = 6.0
 	// maxAffinityFailures is the share of failures above which an engine is passed over.
 	maxAffinityFailures = 0.3
 )
@@ -259,12 +262,12 @@
 	}
 	bound := affinitySlack + affinityFactor*total/float64(max(1, len(all)))
 	var best *state
-	bestScore := uint64(0)
+	bestScore := 0.0
 	for _, s := range among {
 		if s.busy(now) > bound || s.failureShare(now) > maxAffinityFailures {
 			continue
 		}
-		score := radish.RendezvousScore(s.target.Name, q.Affinity)
+		score := q.score(s)
 		if best == nil || score > bestScore {
 			best, bestScore = s, score
 		}
@@ -272,6 +275,50 @@
 	return best
 }
 
+// score is the engine's weight for the prompt: by weighted rendezvous hashing, an engine wins in proportion to the
+// part of its data centre.
+func (q *Query) score(s *state) float64 {
+	hash := (float64(radish.RendezvousScore(s.target.Name, q.Affinity)) + 1) / math.MaxUint64
+	weight := 1.0
+	if q.Weights != nil {
+		weight = q.Weights[s.target.DataCentre]
+	}
+	return -weight / math.Log(min(hash, 1-1e-12))
+}
+
+// Place returns the data centre of the engine that the prompt belongs to; "" when there is none.
+func (f *Fleet) Place(q Query, now time.Time) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	candidates := f.warm(q, now)
+	if s := f.bestByHash(q, candidates, candidates, now); s != nil {
+		return s.target.DataCentre
+	}
+	return ""
+}
+
+// Weights returns, by data centre, how many targets of the stage service it has for each engine of the service.
+func (f *Fleet) Weights(stage, engine string, now time.Time) map[string]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	stages, engines := f.countByPlace(stage, now), f.countByPlace(engine, now)
+	weights := make(map[string]float64, len(engines))
+	for place, n := range engines {
+		weights[place] = stages[place] / n
+	}
+	return weights
+}
+
+func (f *Fleet) countByPlace(service string, now time.Time) map[string]float64 {
+	counts := make(map[string]float64)
+	for _, s := range f.byService[service] {
+		if f.isUsable(s) && !now.Before(s.ejectedUntil) {
+			counts[s.target.DataCentre]++
+		}
+	}
+	return counts
+}
+
 // Outcome is how a call went at a target.
 type Outcome struct {
 	// Failed tells whether the target is at fault, Rejected whether it turned the call away.
@@ -348,39 +395,15 @@
 	}
 }
 
-// Count returns how many targets of the service the VM knows and how many of them may take work.
-func (f *Fleet) Count(service string, now time.Time) (known, usable int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, s := range f.byService[service] {
-		known++
-		if f.isUsable(s) && !now.Before(s.ejectedUntil) {
-			usable++
-		}
-	}
-	return known, usable
-}
-
-// DataCentreOf returns the data centre of the target that has the address; "" when none is known.
-func (f *Fleet) DataCentreOf(address string) string {
+// LeastCount returns the smallest number of targets, usable or not, that any of the services has.
+func (f *Fleet) LeastCount(services []string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, s := range f.targets {
-		if s.target.Address == address {
-			return s.target.DataCentre
-		}
-	}
-	return ""
-}
-
-// TargetAt returns the target of the service at the address.
-func (f *Fleet) TargetAt(service, address string) (radish.Target, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, s := range f.byService[service] {
-		if s.target.Address == address {
-			return s.target, true
+	least := 0
+	for i, service := range services {
+		if n := len(f.byService[service]); i == 0 || n < least {
+			least = n
 		}
 	}
-	return radish.Target{}, false
+	return least
 }
