Check records against the store and tell news to peers

Change: two VMs, chosen by rendezvous hashing among those that the store answers, list each kind of record again every second or so; each VM tells four random peers of news, and those that lack it fetch it. Changes that come one after the other are collected for 0.1 to 1 s into one call.

--- a/internal/radishsite/belief.go
+++ b/internal/radishsite/belief.go
@@ -154,6 +154,13 @@
 	b.storeSince = now
 }
 
+// isStoreAway tells whether the last call to the store failed.
+func (b *beliefs) isStoreAway() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.storeAway
+}
+
 // isComplete tells whether the VM knows enough to serve.
 func (b *beliefs) isComplete() bool {
 	return b.config.Load() != nil && b.mirror.Complete(radish.RecordTarget) > 0
--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	gossipInterval = 500 * time.Millisecond
 	// gossipTimeout bounds one exchange.
 	gossipTimeout = 700 * time.Millisecond
+	// fetchDelay is the time that the store has to tell a VM what a peer knows already.
+	fetchDelay = 50 * time.Millisecond
 	// leaveTimeout bounds the telling of peers that the VM leaves.
 	leaveTimeout = 500 * time.Millisecond
 )
@@ -36,12 +39,16 @@
 	seeds    []string
 	isClosed func() bool
 	log      hclog.Logger
+	// news has one entry while peers must be told of something.
+	news chan struct{}
 
 	mu    sync.Mutex
 	known map[string]radish.VMRecord
 	// leaving holds, by VM, the incarnation that said that it leaves.
 	leaving map[string]int64
-	linked  map[string]bool
+	// storeAway holds the VMs that the store does not answer, as they said last.
+	storeAway map[string]bool
+	linked    map[string]bool
 }
 
 // update takes the VMs' records and keeps links to all of them, and to the seeds while no other VM is known.
@@ -123,12 +130,42 @@
 	return radish.RendezvousOwners(p.reachable(), fmt.Sprintf("stages/%d/%d", shard, shards), ownersKept)
 }
 
+// checkers is how many VMs read each kind of record again at an interval.
+const checkers = 2
+
+// isChecker tells whether this VM is one of those that read the kind again, which the store must answer.
+func (p *peers) isChecker(kind radish.RecordKind) bool {
+	names := p.reachable()
+	p.mu.Lock()
+	names = slices.DeleteFunc(names, func(name string) bool { return name != p.self.Name && p.storeAway[name] })
+	p.mu.Unlock()
+	return slices.Contains(radish.RendezvousOwners(names, "check/"+string(kind), checkers), p.self.Name)
+}
+
+// pushPeers is how many random peers are told at once of news; they tell others in turn.
+const pushPeers = 4
+
+// push tells a few random peers what this VM knows now.
+func (p *peers) push(ctx context.Context) {
+	linked := p.node.Linked()
+	rand.Shuffle(len(linked), func(i, j int) { linked[i], linked[j] = linked[j], linked[i] })
+	for _, name := range linked[:min(len(linked), pushPeers)] {
+		go p.exchange(ctx, name)
+	}
+}
+
 // Run exchanges what is known with random peers until ctx ends.
 func (p *peers) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for ctx.Err() == nil {
+		timer.Reset(gossipInterval/2 + rand.N(gossipInterval))
 		select {
 		case <-ctx.Done():
-		case <-time.After(gossipInterval/2 + rand.N(gossipInterval)):
+		case <-p.news:
+			p.push(ctx)
+			continue
+		case <-timer.C:
 		}
 		p.logLinks()
 		linked := p.node.Linked()
@@ -161,7 +198,7 @@
 func (p *peers) heartbeat() *radishpeerpb.SiteHeartbeat {
 	h := &radishpeerpb.SiteHeartbeat{
 		Vm: p.self.Name, DataCentre: p.self.DataCentre, PeerAddress: p.self.Address, Incarnation: p.self.Incarnation, Leaving: p.isClosed(),
-		Complete: make(map[string]int64),
+		Complete: make(map[string]int64), StoreAway: p.beliefs.isStoreAway(),
 	}
 	for _, kind := range radish.RecordKinds {
 		h.Complete[string(kind)] = p.mirror.Complete(kind)
@@ -180,9 +217,21 @@
 		return
 	}
 	p.hear(res.GetSite())
-	for kind, complete := range res.GetSite().GetComplete() {
+	p.fetchNewer(res.GetSite())
+}
+
+// fetchNewer fetches what the peer knows beyond what this VM knows.
+func (p *peers) fetchNewer(h *radishpeerpb.SiteHeartbeat) {
+	ctx, cancel := context.WithTimeout(context.Background(), gossipTimeout)
+	defer cancel()
+	for kind, complete := range h.GetComplete() {
+		if complete <= p.mirror.Complete(radish.RecordKind(kind)) {
+			continue
+		}
+		// The store tells this VM as well, most often a little later.
+		time.Sleep(fetchDelay)
 		if complete > p.mirror.Complete(radish.RecordKind(kind)) {
-			p.fetch(ctx, name, radish.RecordKind(kind))
+			p.fetch(ctx, h.GetVm(), radish.RecordKind(kind))
 		}
 	}
 }
@@ -210,14 +259,28 @@
 		p.update()
 	}
 	p.beliefs.take(news, source)
+	p.tellSoon()
+}
+
+// tellSoon has peers told of news.
+func (p *peers) tellSoon() {
+	select {
+	case p.news <- struct{}{}:
+	default:
+	}
 }
 
+// hear takes in what a peer says of itself.
 func (p *peers) hear(h *radishpeerpb.SiteHeartbeat) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.storeAway == nil {
+		p.storeAway = make(map[string]bool)
+	}
+	p.storeAway[h.GetVm()] = h.GetStoreAway()
 	if !h.GetLeaving() {
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.leaving == nil {
 		p.leaving = make(map[string]int64)
 	}
@@ -247,6 +310,7 @@
 	switch body := req.GetBody().(type) {
 	case *radishpeerpb.Request_Site:
 		p.hear(body.Site)
+		go p.fetchNewer(body.Site)
 		return &radishpeerpb.Response{Body: &radishpeerpb.Response_Site{Site: p.heartbeat()}}, nil
 	case *radishpeerpb.Request_Records:
 		return p.answerRecords(body.Records), nil
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -44,6 +44,19 @@
 	idleTimeout = 2 * time.Minute
 )
 
+// pauses collect changes of a kind into one call to the store; they are a part of the time within which a change must
+// be in force, two seconds for configurations and targets.
+var pauses = map[radish.RecordKind]time.Duration{
+	radish.RecordConfig: 100 * time.Millisecond, radish.RecordTarget: 300 * time.Millisecond,
+	radish.RecordEvacuation: 300 * time.Millisecond, radish.RecordVM: time.Second,
+}
+
+// checkIntervals are how often a checker reads a kind again.
+var checkIntervals = map[radish.RecordKind]time.Duration{
+	radish.RecordConfig: time.Second, radish.RecordTarget: time.Second,
+	radish.RecordEvacuation: 2 * time.Second, radish.RecordVM: 5 * time.Second,
+}
+
 // FrontEnd makes the handler of callers' requests.
 type FrontEnd func(handler radish.CallHandler, maxBody func() int64, isLeaving func() bool) http.Handler
 
@@ -88,6 +101,7 @@
 	}
 	s.peers = &peers{
 		self: self, mirror: &s.mirror, beliefs: s.beliefs, seeds: s.Site.Seeds, isClosed: s.leaving.Load, log: s.Log.Named("peer"),
+		news: make(chan struct{}, 1),
 	}
 	s.peers.node = &radishpeer.Node{Name: self.Name, Handler: s.peers, Dial: dialPeer, Log: s.Log.Named("link")}
 	s.peers.router = &radishstage.Router{
@@ -314,6 +328,7 @@
 	for _, kind := range radish.RecordKinds {
 		f := &radishsync.Follower{
 			Kind: kind, Store: s.Store, Mirror: &s.mirror, OnReach: s.beliefs.reach, Log: s.Log.Named("store"),
+			Pause: pauses[kind], CheckInterval: checkIntervals[kind], IsChecker: func() bool { return s.peers.isChecker(kind) },
 			OnNews: func(news []radish.Record) { s.peers.takeNews(news, "store") },
 		}
 		add(f.Run)
--- a/internal/radishsync/follower.go
+++ b/internal/radishsync/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -27,6 +28,12 @@
 	Mirror *radishmirror.Mirror
 	// OnNews is called with changes that were news.
 	OnNews func([]radish.Record)
+	// Pause collects changes that come one after the other into one call.
+	Pause time.Duration
+	// IsChecker tells whether this VM reads the whole list again every CheckInterval: a watch may stay silent while its
+	// history is being dropped.
+	IsChecker     func() bool
+	CheckInterval time.Duration
 	// OnReach is called after each call with whether the store answered it.
 	OnReach func(reached bool)
 	Log     hclog.Logger
@@ -34,6 +41,33 @@
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { f.check(ctx) })
+	defer wg.Wait()
+	return f.follow(ctx)
+}
+
+// check reads the list again at an interval while this VM is a checker.
+func (f *Follower) check(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, f.CheckInterval*3/4+rand.N(f.CheckInterval/2))
+		if ctx.Err() != nil || !f.IsChecker() || f.Mirror.Complete(f.Kind) == 0 {
+			continue
+		}
+		records, at, err := f.Store.List(ctx, f.Kind)
+		if ctx.Err() != nil {
+			return
+		}
+		f.OnReach(err == nil)
+		if err != nil {
+			f.Log.Warn("check of the store failed", "kind", string(f.Kind), "error", err.Error())
+			continue
+		}
+		f.tell(f.Mirror.Replace(f.Kind, records, at))
+	}
+}
+
+func (f *Follower) follow(ctx context.Context) error {
 	revision := int64(0)
 	pause := retryFirst
 	for ctx.Err() == nil {
@@ -45,6 +79,7 @@
 		switch {
 		case err == nil:
 			revision, pause = next, retryFirst
+			sleep(ctx, f.Pause)
 			continue
 		case errors.Is(err, radish.ErrHistoryGone):
 			f.Log.Info("history gone, listing again", "kind", string(f.Kind), "revision", revision)
