Reload settings on SIGHUP, refuse calls in stages before the VM ends

Change: settings are read again on the signal and every 2 s; 1.2 s before the kill calls that have not been sent are refused.

--- a/cmd/site.go
+++ b/cmd/site.go
@@ -54,7 +54,12 @@
 		With("vm", site.VM)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return newSiteServer(site, log, c.MetricsPort).Run(ctx)
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	server := newSiteServer(site, log, c.MetricsPort)
+	server.Reload = func() (*radish.Site, error) { return radishadapter.LoadSite(file) }
+	server.Changed = changed
+	return server.Run(ctx)
 }
 
 func newSiteServer(site *radish.Site, log hclog.Logger, metricsPort string) *radishsite.Server {
--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -48,9 +48,21 @@
 	if !e.hasPieces() {
 		return nil
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-e.relay.stopping():
+			cancel(errStopped)
+		case <-ctx.Done():
+		}
+	}()
 	began := time.Now()
 	plan := e.plan()
 	result, err := e.relay.Stages.Run(ctx, plan)
+	if errors.Is(context.Cause(ctx), errStopped) {
+		err = errStopped
+	}
 	if errors.Is(err, radishstage.ErrFailed) && e.mayRemake() {
 		e.relay.Log.Info("stages run again", "id", e.call.ID, "error", err.Error())
 		result, err = e.relay.Stages.Run(ctx, plan)
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -41,9 +43,23 @@
 	Stages    StageRunner
 	Budget    *radishtarget.RetryBudget
 	// RetryShare is the share of a service's calls that may be sent again.
-	RetryShare float64
+	RetryShare func() float64
 	Metrics    *radishmetric.Metrics
 	Log        hclog.Logger
+
+	stopOnce sync.Once
+	stopped  chan struct{}
+}
+
+// errStopped reports that the VM ends before the call's stages have.
+var errStopped = errors.New("this VM is about to end")
+
+// Stop has the calls refused that have not been sent to a target, as shortly before the VM ends.
+func (r *Relay) Stop() { close(r.stopping()) }
+
+func (r *Relay) stopping() chan struct{} {
+	r.stopOnce.Do(func() { r.stopped = make(chan struct{}) })
+	return r.stopped
 }
 
 // exchange is one call on its way to an answer.
@@ -105,7 +121,7 @@
 	if e.service == nil {
 		return radish.Refusal{Kind: radish.RefusalNotRun, RetryAfter: spread(capacityRetry), Reason: "the route's service is not configured"}, false
 	}
-	e.relay.Budget.Earn(e.service.Name, e.relay.RetryShare)
+	e.relay.Budget.Earn(e.service.Name, e.relay.RetryShare())
 	wait := defaultWait
 	if e.call.Wait > 0 {
 		wait = e.call.Wait
--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -31,12 +31,13 @@
 
 // peers is what the VM knows of the other entry VMs.
 type peers struct {
-	self     radish.VMRecord
-	node     *radishpeer.Node
-	mirror   *radishmirror.Mirror
-	beliefs  *beliefs
-	router   *radishstage.Router
-	seeds    []string
+	self    radish.VMRecord
+	node    *radishpeer.Node
+	mirror  *radishmirror.Mirror
+	beliefs *beliefs
+	router  *radishstage.Router
+	// seeds returns addresses of other VMs' peer ports, some of which may be stale.
+	seeds    func() []string
 	isClosed func() bool
 	log      hclog.Logger
 	// news has one entry while peers must be told of something.
@@ -67,7 +68,7 @@
 		}
 	}
 	if len(list) == 0 {
-		for _, seed := range p.seeds {
+		for _, seed := range p.seeds() {
 			if seed != p.self.Address {
 				// A seed's name is learned from its first answer.
 				list = append(list, radishpeer.Peer{Name: seed, Address: seed})
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,8 +34,10 @@
 	memoryShare = 0.7
 	// acceptAfterStop is how long a VM that leaves goes on accepting: the balancer notices within about two checks.
 	acceptAfterStop = 3 * time.Second
-	// stopReserve is the time before the kill by which everything has ended.
-	stopReserve = 300 * time.Millisecond
+	// stopReserve is the time before the kill by which everything has ended, refuseReserve the time before it at which
+	// calls that have not run are refused.
+	stopReserve   = 300 * time.Millisecond
+	refuseReserve = 1200 * time.Millisecond
 	// saveRetry is the pause before the VM's own record is written again after a failure.
 	saveRetry = 500 * time.Millisecond
 	// headerTimeout bounds the reading of a request's header.
@@ -62,7 +64,11 @@
 
 // Server is one entry VM on the users' platform; set the exported fields before Run.
 type Server struct {
-	Site      *radish.Site
+	Site *radish.Site
+	// Reload returns the settings as they are now; nil keeps those of the start.
+	Reload func() (*radish.Site, error)
+	// Changed receives a value when the settings may have changed; nil only looks at an interval.
+	Changed   <-chan os.Signal
 	Store     radish.RecordStore
 	Decoder   Decoder
 	Forwarder radish.Forwarder
@@ -80,6 +86,7 @@
 	relay    *radishrelay.Relay
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	site     atomic.Pointer[radish.Site]
 
 	mu           sync.Mutex
 	coordinators map[[2]int]*radishstage.Coordinator
@@ -90,9 +97,7 @@
 	if s.metrics, err = radishmetric.New(); err != nil {
 		return err
 	}
-	if s.Site.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.Site.MemoryMB) * (1 << 20)))
-	}
+	s.useSite(s.Site)
 	s.coordinators = make(map[[2]int]*radishstage.Coordinator)
 	s.fleet = &radishfleet.Fleet{DataCentre: s.Site.DataCentre, ColdQuota: s.coldQuota}
 	s.beliefs = &beliefs{decoder: s.Decoder, mirror: &s.mirror, fleet: s.fleet, log: s.Log.Named("belief"), onChange: s.wakeCoordinators}
@@ -100,7 +105,7 @@
 		Name: s.Site.VM, Address: s.Site.PeerAddress, DataCentre: s.Site.DataCentre, Incarnation: time.Now().UnixMilli(),
 	}
 	s.peers = &peers{
-		self: self, mirror: &s.mirror, beliefs: s.beliefs, seeds: s.Site.Seeds, isClosed: s.leaving.Load, log: s.Log.Named("peer"),
+		self: self, mirror: &s.mirror, beliefs: s.beliefs, seeds: func() []string { return s.site.Load().Seeds }, isClosed: s.leaving.Load, log: s.Log.Named("peer"),
 		news: make(chan struct{}, 1),
 	}
 	s.peers.node = &radishpeer.Node{Name: self.Name, Handler: s.peers, Dial: dialPeer, Log: s.Log.Named("link")}
@@ -109,7 +114,7 @@
 	}
 	s.relay = &radishrelay.Relay{
 		Config: s.beliefs.config.Load, Fleet: s.fleet, Forwarder: s.Forwarder, Stages: s.peers.router,
-		Budget: &radishtarget.RetryBudget{Burst: s.retryBurst}, RetryShare: s.Site.RetryShare, Metrics: s.metrics, Log: s.Log.Named("call"),
+		Budget: &radishtarget.RetryBudget{Burst: s.retryBurst}, RetryShare: func() float64 { return s.site.Load().RetryShare }, Metrics: s.metrics, Log: s.Log.Named("call"),
 	}
 	return s.addGauges()
 }
@@ -196,7 +201,7 @@
 }
 
 // retryBurst is the VM's part of the repeats that all VMs may save up.
-func (s *Server) retryBurst() float64 { return s.Site.RetrySlack / float64(s.peers.count()) }
+func (s *Server) retryBurst() float64 { return s.site.Load().RetrySlack / float64(s.peers.count()) }
 
 // coldMargin keeps the VMs' parts below the bound of all, for the time that a call is on its way.
 const coldMargin = 0.8
@@ -207,7 +212,8 @@
 	if cfg == nil || cfg.Services[t.Service] == nil {
 		return 0
 	}
-	all := int(coldMargin * (cfg.Services[t.Service].ColdPerSec*s.Site.ColdFactor + s.Site.ColdSlack))
+	site := s.site.Load()
+	all := int(coldMargin * (cfg.Services[t.Service].ColdPerSec*site.ColdFactor + site.ColdSlack))
 	names := s.peers.names()
 	quota := all / len(names)
 	for _, name := range radish.RendezvousOwners(names, "cold/"+t.Name, all%len(names)) {
@@ -336,6 +342,7 @@
 	add(s.peers.node.Run)
 	add(s.peers.Run)
 	add(s.saveSelf)
+	add(s.followSettings)
 	s.peers.update()
 }
 
@@ -372,6 +379,8 @@
 	began := time.Now()
 	s.Log.Info("leaving", "in_flight", s.inFlight.Load())
 	s.leaving.Store(true)
+	refuse := time.AfterFunc(s.Site.ShutdownGrace-refuseReserve, s.relay.Stop)
+	defer refuse.Stop()
 	s.peers.tellLeaving(background)
 	time.Sleep(acceptAfterStop - time.Since(began))
 	grace, cancel := context.WithDeadline(background, began.Add(s.Site.ShutdownGrace-stopReserve))
