Let late calls in only behind little, and give inputs up when they are read

Started late pieces went before those that could be in time.

Change: a plan that cannot be in time is let in only while at most 0.3 s of work waits; inputs are given up 80 ms after the call that reads them has begun where room is short; a coordinator that does not answer is left alone for 2 s and the next one asked; the engine is chosen where the large results lie.

--- a/internal/radishdial/dial.go
+++ b/internal/radishdial/dial.go
@@ -19,7 +19,7 @@
 	// probeCount is how many probes may stay unanswered.
 	probeCount = 2
 	// sendTimeout is how long sent bytes may stay unacknowledged.
-	sendTimeout = 2 * time.Second
+	sendTimeout = time.Second
 )
 
 // NewDialer returns a dialer whose connections break within about three seconds when the peer falls silent.
--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"radishramp.example/radishramp/internal/radishstage"
@@ -112,7 +113,7 @@
 	if e.service.IsEngine {
 		q.Affinity, q.Weights = sharedPart(e.call.Prompt), e.weights
 		if e.hasLargeInputs() {
-			q.Near = e.near
+			q.Near = e.inputPlace()
 		}
 	}
 	return q
@@ -127,6 +128,26 @@
 	return bytes >= radishbatch.LargeResult
 }
 
+// inputPlace returns the data centre that holds the most bytes of what the engine reads first, or where they are to be
+// made.
+func (e *exchange) inputPlace() string {
+	best, bytes := e.near, make(map[string]int64)
+	if e.inputs == nil {
+		return best
+	}
+	for _, i := range e.route.LastStages() {
+		for _, handle := range e.inputs[i] {
+			address, _, _ := strings.Cut(handle, "/")
+			place := e.relay.Fleet.PlaceOf(address)
+			bytes[place] += e.route.Stages[i].ResultBytes
+			if bytes[place] > bytes[best] {
+				best = place
+			}
+		}
+	}
+	return best
+}
+
 // sharedPart returns the longest prefix of the prompt that other calls may share.
 func sharedPart(prompt []radish.PromptPart) string {
 	switch len(prompt) {
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -20,6 +20,8 @@
 const (
 	// defaultWait bounds a call whose caller and route set no time.
 	defaultWait = 30 * time.Second
+	// answerTime is the time that an answer of the system's own has to reach the caller.
+	answerTime = 50 * time.Millisecond
 	// notReadyRetry is when a caller may come back to a VM that has no configuration yet, which is soon over.
 	notReadyRetry = 500 * time.Millisecond
 	// capacityRetry is when a caller may come back to a service without a usable target.
@@ -124,7 +126,7 @@
 	e.relay.Budget.Earn(e.service.Name, e.relay.RetryShare())
 	wait := defaultWait
 	if e.call.Wait > 0 {
-		wait = e.call.Wait
+		wait = max(e.call.Wait/2, e.call.Wait-answerTime)
 	}
 	if e.route.Timeout > 0 {
 		wait = min(wait, e.route.Timeout)
--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -123,8 +123,8 @@
 	return names
 }
 
-// ownersKept is how many VMs are named as owners of a key.
-const ownersKept = 3
+// ownersKept is how many VMs are named as owners of a key, so that one is left when a data centre is cut off.
+const ownersKept = 10
 
 // owners returns the VMs in reach that coordinate the shard, the first choice first.
 func (p *peers) owners(shard, shards int) []string {
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -19,8 +19,8 @@
 	recheckInterval = 50 * time.Millisecond
 	// maxTries is how many calls a piece may be part of.
 	maxTries = 4
-	// lateShare is the part of the time left that a late call may be expected to take to be let in.
-	lateShare = 0.5
+	// lateWait is the longest time in queues for which a call is let in that cannot be in time.
+	lateWait = 300 * time.Millisecond
 	// retryFloor is the least time after which a refused call may come back.
 	retryFloor = 300 * time.Millisecond
 	// usualLoad is the part of a full call that a usual call holds.
@@ -79,10 +79,12 @@
 	defer c.mu.Unlock()
 	c.init()
 	now := time.Now()
-	if err := c.refuse(p, now); err != nil {
+	expected, err := c.expect(p, now)
+	if err != nil {
 		return nil, err
 	}
 	j := newJob(p, c.usualTime)
+	j.began, j.expected = now, expected
 	c.jobs[j] = true
 	c.advance(j)
 	c.dispatch(now)
@@ -99,22 +101,24 @@
 	c.slots = make(map[string]*slot)
 }
 
-// refuse tells whether the plan cannot be done in time behind the calls that can, nor late behind all of them.
-func (c *Coordinator) refuse(p *Plan, now time.Time) error {
-	needs := p.needs()
-	took, ok := radishbatch.Finish(c.lines(p, now, true), needs)
+// expect returns about how long the plan takes behind what was let in before, or why it is refused. A plan that cannot
+// be in time is let in only while little waits, so that it does not make others late.
+func (c *Coordinator) expect(p *Plan, now time.Time) (time.Duration, error) {
+	lines, needs := c.lines(p, now), p.needs()
+	took, ok := radishbatch.Finish(lines, needs)
 	if !ok {
-		return c.refused(p, &RefusedError{RetryAfter: time.Second, Reason: "a stage has no target"}, 0)
+		return 0, c.refused(p, &RefusedError{RetryAfter: time.Second, Reason: "a stage has no target"}, 0)
 	}
 	if !now.Add(took).After(p.Due) {
-		return nil
+		return took, nil
 	}
-	took, _ = radishbatch.Finish(c.lines(p, now, false), needs)
+	alone, _ := radishbatch.Finish(radishbatch.Emptied(lines), needs)
 	left := p.Deadline.Sub(now)
-	if took < time.Duration(lateShare*float64(left)) {
-		return nil
+	if took-alone <= lateWait && took < left {
+		return took, nil
 	}
-	return c.refused(p, &RefusedError{RetryAfter: max(retryFloor, took/2), Reason: fmt.Sprintf("stages need %v, %v are left", took.Round(time.Millisecond), left.Round(time.Millisecond))}, took)
+	reason := fmt.Sprintf("stages need %v, %v are left to be in time", took.Round(time.Millisecond), p.Due.Sub(now).Round(time.Millisecond))
+	return 0, c.refused(p, &RefusedError{RetryAfter: max(retryFloor, took-alone), Reason: reason}, took)
 }
 
 func (c *Coordinator) refused(p *Plan, err *RefusedError, took time.Duration) error {
@@ -122,10 +126,10 @@
 	return err
 }
 
-// lines describes what lies before the targets of the plan's services: all of it, or what can be in time.
-func (c *Coordinator) lines(p *Plan, now time.Time, inTime bool) map[string]radishbatch.Line {
+// lines describes what lies before the targets of the plan's services.
+func (c *Coordinator) lines(p *Plan, now time.Time) map[string]radishbatch.Line {
 	lines := make(map[string]radishbatch.Line)
-	coming := c.coming(now, inTime)
+	coming := c.coming()
 	for _, s := range p.Stages {
 		if _, ok := lines[s.Service]; ok || s.Pieces == 0 {
 			continue
@@ -137,9 +141,6 @@
 		line := radishbatch.Line{Coming: coming[s.Service], CallTime: usualTime(batch)}
 		if q := c.queues[s.Service]; q != nil {
 			line.Waiting = q.Len()
-			if inTime {
-				line.Waiting = q.InTime(now, batch.CallTime)
-			}
 		}
 		c.addTargets(&line, s, batch, now)
 		lines[s.Service] = line
@@ -165,12 +166,9 @@
 }
 
 // coming counts, by service, the pieces that the jobs let in have not queued yet.
-func (c *Coordinator) coming(now time.Time, inTime bool) map[string]int {
+func (c *Coordinator) coming() map[string]int {
 	coming := make(map[string]int)
 	for j := range c.jobs {
-		if inTime && j.plan.Due.Before(now) {
-			continue
-		}
 		for i := range j.stages {
 			if !j.stages[i].queued {
 				coming[j.plan.Stages[i].Service] += j.plan.Stages[i].Pieces
@@ -237,6 +235,8 @@
 		}
 		c.Log.Info("plan failed", "id", j.plan.CallID, "error", err.Error())
 	}
+	c.Log.Info("plan ended", "id", j.plan.CallID, "took_ms", time.Since(j.began).Milliseconds(), "expected_ms", j.expected.Milliseconds(),
+		"due_ms", j.plan.Due.Sub(j.began).Milliseconds(), "jobs", len(c.jobs))
 	close(j.done)
 }
 
@@ -280,6 +280,7 @@
 		}
 		if items := q.Take(call, now); len(items) > 0 {
 			c.start(t, service, batch, items, now)
+			c.freeInputsSoon(items)
 		}
 	}
 }
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -14,8 +14,11 @@
 	// dueOf is when the results of each stage are needed for the call to be in time.
 	dueOf []time.Time
 	items map[*radishbatch.Item]bool
-	err   error
-	ended bool
+	// began and expected are when the plan was let in and how long it was expected to take then.
+	began    time.Time
+	expected time.Duration
+	err      error
+	ended    bool
 	done  chan struct{}
 }
 
@@ -26,6 +29,8 @@
 	// handles are by piece; "" until it is made.
 	handles []string
 	freed   bool
+	// running counts the pieces whose calls have begun.
+	running int
 	// expires is when the first of the results ends.
 	expires time.Time
 }
@@ -147,6 +152,30 @@
 	return made(j.stages[before].handles)
 }
 
+// freeIfRead returns a stage's handles once all stages that need them have begun, so that their inputs were read.
+func (j *job) freeIfRead(before int) []string {
+	if j.stages[before].freed {
+		return nil
+	}
+	for k := range j.stages {
+		if j.needs(k, before) && j.stages[k].running < j.plan.Stages[k].Pieces {
+			return nil
+		}
+	}
+	j.stages[before].freed = true
+	return made(j.stages[before].handles)
+}
+
+// isFollowed tells whether another stage needs the stage's results.
+func (j *job) isFollowed(stage int) bool {
+	for k := range j.stages {
+		if j.needs(k, stage) {
+			return true
+		}
+	}
+	return false
+}
+
 // isDone tells whether all pieces are made.
 func (j *job) isDone() bool {
 	for i := range j.stages {
--- a/internal/radishstage/router.go
+++ b/internal/radishstage/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -12,8 +13,12 @@
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
 )
 
-// maxOwners is how many VMs are asked in turn to coordinate a plan before the own VM does.
-const maxOwners = 3
+const (
+	// maxOwners is how many VMs are asked in turn to coordinate a plan before the own VM does.
+	maxOwners = 3
+	// suspectTime is how long a VM that did not answer is left alone.
+	suspectTime = 2 * time.Second
+)
 
 // PeerCaller calls other VMs.
 type PeerCaller interface {
@@ -33,14 +38,18 @@
 	// Local returns the VM's own coordinator of the shard.
 	Local func(shard, shards int) *Coordinator
 	Log   hclog.Logger
+
+	mu sync.Mutex
+	// suspects holds until when VMs that did not answer are left alone.
+	suspects map[string]time.Time
 }
 
 // Run runs the plan; a *RefusedError when there is no room for it.
 func (r *Router) Run(ctx context.Context, p *Plan) (*Result, error) {
 	shards := r.Shards()
 	shard := shardOf(p.CallID, shards)
-	owners := r.Owners(shard, shards)
-	for _, owner := range owners[:min(len(owners), maxOwners)] {
+	for range maxOwners {
+		owner := r.owner(shard, shards)
 		if owner == r.Self {
 			break
 		}
@@ -49,10 +58,34 @@
 			return result, err
 		}
 		r.Log.Warn("coordinator did not answer", "peer", owner, "shard", shard, "id", p.CallID, "error", err.Error())
+		r.suspect(owner)
 	}
 	return r.Local(shard, shards).Run(ctx, p)
 }
 
+// owner returns the VM that coordinates the shard now: the first choice that has not failed to answer of late.
+func (r *Router) owner(shard, shards int) string {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, owner := range r.Owners(shard, shards) {
+		if now.After(r.suspects[owner]) {
+			return owner
+		}
+	}
+	return r.Self
+}
+
+// suspect leaves a VM that did not answer alone for a while.
+func (r *Router) suspect(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.suspects == nil {
+		r.suspects = make(map[string]time.Time)
+	}
+	r.suspects[name] = time.Now().Add(suspectTime)
+}
+
 func (r *Router) ask(ctx context.Context, owner string, shard, shards int, p *Plan) (*Result, error) {
 	body := encode(p, time.Now())
 	body.Shard, body.Shards = uint32(shard), uint32(shards)
@@ -80,14 +113,13 @@
 func (r *Router) Free(ctx context.Context, callID string, handles []string) {
 	shards := r.Shards()
 	shard := shardOf(callID, shards)
-	owners := r.Owners(shard, shards)
-	if len(owners) > 0 && owners[0] != r.Self {
+	if owner := r.owner(shard, shards); owner != r.Self {
 		req := &radishpeerpb.FreeRequest{Handles: handles, Shard: uint32(shard), Shards: uint32(shards)}
-		_, err := r.Peers.Call(ctx, owners[0], &radishpeerpb.Request{Body: &radishpeerpb.Request_Free{Free: req}})
+		_, err := r.Peers.Call(ctx, owner, &radishpeerpb.Request{Body: &radishpeerpb.Request_Free{Free: req}})
 		if err == nil {
 			return
 		}
-		r.Log.Info("coordinator not told of freed results", "peer", owners[0], "id", callID, "error", err.Error())
+		r.Log.Info("coordinator not told of freed results", "peer", owner, "id", callID, "error", err.Error())
 	}
 	r.Local(shard, shards).Free(handles)
 }
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -22,6 +22,12 @@
 	// slowFactor and slowSlack are after how much more than the expected time of a call its pieces are also sent elsewhere.
 	slowFactor = 1.5
 	slowSlack  = 150 * time.Millisecond
+	// roomShare is the part of a target's room that is planned for, since the sizes of results vary.
+	roomShare = 0.92
+	// tightShare is the part of the room that is taken from which inputs are given up as soon as they were read.
+	tightShare = 0.5
+	// readTime is how long after a call's begin its inputs have been read.
+	readTime = 80 * time.Millisecond
 	// giveUpFactor is after how many times the expected time a call is given up.
 	giveUpFactor = 6
 	// fullPause is how long a target that turned a call away is left alone.
@@ -61,7 +67,7 @@
 
 // room is how much of the target's room for results is not taken by results that are known here.
 func (s *slot) room(batch *radishroute.Batch, now time.Time) int64 {
-	room := batch.RoomBytes
+	room := int64(roomShare * float64(batch.RoomBytes))
 	for handle, h := range s.results {
 		if now.After(h.until) {
 			delete(s.results, handle)
@@ -216,7 +222,6 @@
 	c.Log.Info("piece not made", "id", item.Piece.CallID, "target", call.target.Name, "service", call.service, "stage", item.Piece.Stage, "outcome", string(r.Outcome))
 	switch r.Outcome {
 	case radish.PieceNoRoom:
-		s.blocked = now.Add(fullPause)
 		item.Tries--
 		c.requeue(call.service, []*radishbatch.Item{item})
 	case radish.PieceFailed:
@@ -226,6 +231,52 @@
 	}
 }
 
+// freeInputsSoon gives up the inputs of the pieces once they were read, where their makers are short of room. If a call
+// fails after that, its inputs are made again.
+func (c *Coordinator) freeInputsSoon(items []*radishbatch.Item) {
+	jobs := make(map[*job]bool)
+	for _, item := range items {
+		if j := c.owners[item]; j != nil && item.Tries == 1 {
+			j.stages[item.Piece.Stage].running++
+			jobs[j] = true
+		}
+	}
+	time.AfterFunc(readTime, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for j := range jobs {
+			c.freeRead(j)
+		}
+	})
+}
+
+func (c *Coordinator) freeRead(j *job) {
+	if j.ended {
+		return
+	}
+	for i := range j.stages {
+		if !j.stages[i].freed && j.stages[i].left == 0 && j.isFollowed(i) && c.isTight(j.plan.Stages[i].Service, j.stages[i].handles) {
+			c.giveUp(j.freeIfRead(i))
+		}
+	}
+}
+
+// isTight tells whether a maker of the results is short of room.
+func (c *Coordinator) isTight(service string, handles []string) bool {
+	batch := c.Batch(service)
+	if batch == nil {
+		return false
+	}
+	for _, handle := range handles {
+		address, _, _ := strings.Cut(handle, "/")
+		s := c.slots[address]
+		if s != nil && float64(s.room(batch, time.Now())) < (1-tightShare)*float64(batch.RoomBytes) {
+			return true
+		}
+	}
+	return false
+}
+
 // giveUp frees results soon; their room counts as taken until then.
 func (c *Coordinator) giveUp(handles []string) {
 	for _, handle := range handles {
--- a/pkg/radishbatch/backlog.go
+++ b/pkg/radishbatch/backlog.go
@@ -45,6 +45,16 @@
 	return took, true
 }
 
+// Emptied returns the lines as they are when nothing waits.
+func Emptied(lines map[string]Line) map[string]Line {
+	empty := make(map[string]Line, len(lines))
+	for service, line := range lines {
+		line.Waiting, line.Coming, line.Busy = 0, 0, 0
+		empty[service] = line
+	}
+	return empty
+}
+
 // wait is how long a piece waits that joins the line after the given time.
 func (l Line) wait(after time.Duration) time.Duration {
 	work := time.Duration(float64(l.Waiting+l.Coming) / l.PerSecond * float64(time.Second))
--- a/pkg/radishbatch/queue.go
+++ b/pkg/radishbatch/queue.go
@@ -49,17 +49,6 @@
 // Len returns how many pieces wait.
 func (q *Queue) Len() int { return len(q.items) }
 
-// InTime returns how many of the waiting pieces can still be in time when a call takes so long.
-func (q *Queue) InTime(now time.Time, call time.Duration) int {
-	n := 0
-	for _, i := range q.items {
-		if !i.Due.Before(now.Add(call)) {
-			n++
-		}
-	}
-	return n
-}
-
 // Remove drops the pieces for which gone is true and returns them.
 func (q *Queue) Remove(gone func(*Item) bool) []*Item {
 	var removed []*Item
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -395,6 +395,18 @@
 	}
 }
 
+// PlaceOf returns the data centre of the target that has the address; "" when none is known.
+func (f *Fleet) PlaceOf(address string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.targets {
+		if s.target.Address == address {
+			return s.target.DataCentre
+		}
+	}
+	return ""
+}
+
 // LeastCount returns the smallest number of targets, usable or not, that any of the services has.
 func (f *Fleet) LeastCount(services []string) int {
 	f.mu.Lock()
