Leave a data centre that is out of reach after two of its targets

Change: when two targets of another data centre in a row cannot be reached, all of it is left for 1 to 2 s; connections are given 0.3 s to open.

--- a/internal/radishdial/dial.go
+++ b/internal/radishdial/dial.go
@@ -11,7 +11,7 @@
 // Times after which a connection is given up.
 const (
 	// ConnectTimeout bounds the opening of a connection; the round trip is a few milliseconds.
-	ConnectTimeout = 500 * time.Millisecond
+	ConnectTimeout = 300 * time.Millisecond
 	// IdleTimeout is how long a connection is kept without use.
 	IdleTimeout = 10 * time.Second
 	// probeInterval is the time between probes of a connection on which nothing arrives.
--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -198,7 +198,7 @@
 func (e *exchange) judge(ctx context.Context, t radish.Target, a *radish.TargetAnswer, err error) (verdict, radishfleet.Outcome) {
 	if errors.Is(err, radish.ErrNotSent) {
 		e.tried[t.Name] = true
-		return verdictNotRun, radishfleet.Outcome{Failed: ctx.Err() == nil}
+		return verdictNotRun, radishfleet.Outcome{Failed: ctx.Err() == nil, Unreached: ctx.Err() == nil}
 	}
 	if err != nil {
 		e.sends++
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -19,7 +19,7 @@
 	expected time.Duration
 	err      error
 	ended    bool
-	done  chan struct{}
+	done     chan struct{}
 }
 
 // stageState is how far one stage of a job is.
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -11,6 +11,7 @@
 
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishbatch"
+	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishroute"
 )
 
@@ -182,7 +183,11 @@
 		c.finishFailed(call, s, now)
 	} else {
 		s.slowness += slownessWeight * (float64(call.took)/float64(call.expected) - s.slowness)
-		c.Fleet.Report(call.target.Name, false, now)
+		c.Fleet.Report(call.target.Name, radishfleet.Outcome{}, now)
+		if isFull(call.results) {
+			// Results that this VM does not know of take up the room, and end within their lifetime.
+			s.blocked = now.Add(fullPause)
+		}
 		for i, item := range call.items {
 			c.finishPiece(call, s, item, call.results[i], now)
 		}
@@ -190,6 +195,17 @@
 	c.dispatch(now)
 }
 
+// isFull tells whether the target had no room for most of a call's results.
+func isFull(results []radish.PieceResult) bool {
+	n := 0
+	for _, r := range results {
+		if r.Outcome == radish.PieceNoRoom {
+			n++
+		}
+	}
+	return 2*n > len(results)
+}
+
 func (c *Coordinator) finishFailed(call *finished, s *slot, now time.Time) {
 	s.blocked = now.Add(fullPause)
 	if errors.Is(call.err, radish.ErrRejected) {
@@ -198,7 +214,7 @@
 			item.Avoid = ""
 		}
 	} else {
-		c.Fleet.Report(call.target.Name, true, now)
+		c.Fleet.Report(call.target.Name, radishfleet.Outcome{Failed: true, Unreached: errors.Is(call.err, radish.ErrNotSent)}, now)
 	}
 	c.Log.Warn("stage call failed", "target", call.target.Name, "service", call.service, "pieces", len(call.items), "error", call.err.Error())
 	c.requeue(call.service, call.items)
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -36,6 +36,7 @@
 	targets   map[string]*state
 	byService map[string][]*state
 	evacuated map[string]bool
+	places    map[string]*place
 }
 
 // state is what is known of one target.
@@ -148,13 +149,18 @@
 	return !s.target.Leaving && !f.evacuated[s.target.DataCentre]
 }
 
+// isOut tells whether the target failed of late or lies in a data centre that is out of reach.
+func (f *Fleet) isOut(s *state, now time.Time) bool {
+	return now.Before(s.ejectedUntil) || f.isCut(s.target.DataCentre, now)
+}
+
 // warm returns the targets that may take the call; those out of use are offered when there is no other.
 func (f *Fleet) warm(q Query, now time.Time) []*state {
 	var warm, ejected []*state
 	for _, s := range f.byService[q.Service] {
 		switch {
 		case !f.isUsable(s), q.Exclude[s.target.Name], q.ColdLimit && now.Before(s.coldUntil):
-		case now.Before(s.ejectedUntil):
+		case f.isOut(s, now):
 			ejected = append(ejected, s)
 		default:
 			warm = append(warm, s)
@@ -312,7 +318,7 @@
 func (f *Fleet) countByPlace(service string, now time.Time) map[string]float64 {
 	counts := make(map[string]float64)
 	for _, s := range f.byService[service] {
-		if f.isUsable(s) && !now.Before(s.ejectedUntil) {
+		if f.isUsable(s) && !f.isOut(s, now) {
 			counts[s.target.DataCentre]++
 		}
 	}
@@ -321,10 +327,12 @@
 
 // Outcome is how a call went at a target.
 type Outcome struct {
-	// Failed tells whether the target is at fault, Rejected whether it turned the call away.
-	Failed   bool
-	Rejected bool
-	Load     radish.TargetLoad
+	// Failed tells whether the target is at fault, Rejected whether it turned the call away, Unreached whether no
+	// connection to it could be opened.
+	Failed    bool
+	Rejected  bool
+	Unreached bool
+	Load      radish.TargetLoad
 }
 
 // Done ends a call that Pick counted.
@@ -336,6 +344,7 @@
 		return
 	}
 	s.inFlight = max(0, s.inFlight-1)
+	f.noteReach(s.target, o, now)
 	if o.Load.Known {
 		s.load, s.loadAt = o.Load, now
 	}
@@ -379,19 +388,20 @@
 	defer f.mu.Unlock()
 	var usable []radish.Target
 	for _, s := range f.byService[service] {
-		if f.isUsable(s) && !now.Before(s.ejectedUntil) {
+		if f.isUsable(s) && !f.isOut(s, now) {
 			usable = append(usable, s.target)
 		}
 	}
 	return usable
 }
 
-// Report counts a failure or success of a target outside of Pick.
-func (f *Fleet) Report(name string, failed bool, now time.Time) {
+// Report counts how a call outside of Pick went.
+func (f *Fleet) Report(name string, o Outcome, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.targets[name]; s != nil {
-		s.count(failed, now)
+		f.noteReach(s.target, o, now)
+		s.count(o.Failed, now)
 	}
 }
 
