Keep the pieces of a call together in one data centre

Change: pieces of a call share a call to a target, and pieces that read or make many bytes stay in the data centre of the call's first one.

--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -145,13 +145,15 @@
 	if e.service.IsEngine {
 		send.Priority = min(maxTargetPriority, e.route.PriorityOf(e.team))
 	}
+	inputBytes := e.inputBytes()
 	answer, err := e.relay.Forwarder.Send(ctx, send)
 	v, outcome := e.judge(ctx, t, answer, err)
 	outcome.Load = loadOf(answer)
 	e.relay.Fleet.Done(t.Name, outcome, time.Now())
 	e.relay.Metrics.Attempt(e.service.Name, verdictName(v, outcome))
 	e.relay.Log.Info("attempt ended", "id", e.call.ID, "target", t.Name, "data_centre", t.DataCentre, "verdict", verdictName(v, outcome),
-		"status", statusOf(answer), "took_ms", time.Since(began).Milliseconds(), "error", errorText(err))
+		"status", statusOf(answer), "took_ms", time.Since(began).Milliseconds(),
+		"input_bytes", inputBytes, "error", errorText(err))
 	return v
 }
 
--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -105,7 +105,9 @@
 			e.weights = e.relay.Fleet.Weights(s.Service, e.service.Name, time.Now())
 		}
 	}
-	e.near = e.relay.Fleet.Place(e.query(), time.Now())
+	if e.hasLargeInputs() {
+		e.near = e.relay.Fleet.Place(e.query(), time.Now())
+	}
 }
 
 func (e *exchange) query() radishfleet.Query {
@@ -131,21 +133,28 @@
 // inputPlace returns the data centre that holds the most bytes of what the engine reads first, or where they are to be
 // made.
 func (e *exchange) inputPlace() string {
-	best, bytes := e.near, make(map[string]int64)
+	best, bytes := e.near, e.inputBytes()
+	for place, n := range bytes {
+		if n > bytes[best] {
+			best = place
+		}
+	}
+	return best
+}
+
+// inputBytes returns about how many bytes of what the engine reads first each data centre holds.
+func (e *exchange) inputBytes() map[string]int64 {
+	bytes := make(map[string]int64)
 	if e.inputs == nil {
-		return best
+		return bytes
 	}
 	for _, i := range e.route.LastStages() {
 		for _, handle := range e.inputs[i] {
 			address, _, _ := strings.Cut(handle, "/")
-			place := e.relay.Fleet.PlaceOf(address)
-			bytes[place] += e.route.Stages[i].ResultBytes
-			if bytes[place] > bytes[best] {
-				best = place
-			}
+			bytes[e.relay.Fleet.PlaceOf(address)] += e.route.Stages[i].ResultBytes
 		}
 	}
-	return best
+	return bytes
 }
 
 // sharedPart returns the longest prefix of the prompt that other calls may share.
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -14,6 +14,8 @@
 	// dueOf is when the results of each stage are needed for the call to be in time.
 	dueOf []time.Time
 	items map[*radishbatch.Item]bool
+	// place is the data centre in which heavy pieces are made; "" until the first one is.
+	place string
 	// began and expected are when the plan was let in and how long it was expected to take then.
 	began    time.Time
 	expected time.Duration
@@ -37,7 +39,7 @@
 
 func newJob(p *Plan, timeOf func(service string) time.Duration) *job {
 	j := &job{
-		plan: p, stages: make([]stageState, len(p.Stages)), dueOf: make([]time.Time, len(p.Stages)),
+		plan: p, place: p.Near, stages: make([]stageState, len(p.Stages)), dueOf: make([]time.Time, len(p.Stages)),
 		items: make(map[*radishbatch.Item]bool), done: make(chan struct{}),
 	}
 	for i, s := range p.Stages {
@@ -111,13 +113,40 @@
 			piece.Key = j.plan.Key
 		}
 		items[n] = &radishbatch.Item{
-			Piece: piece, Due: j.dueOf[i], Deadline: j.plan.Deadline, Expires: expires, Bytes: stage.ResultBytes, Near: j.plan.Near, Worth: j.plan.Worth,
+			Piece: piece, Due: j.dueOf[i], Deadline: j.plan.Deadline, Expires: expires, Bytes: stage.ResultBytes, Near: j.place, IsHeavy: j.isHeavy(i), Worth: j.plan.Worth,
 		}
 		j.items[items[n]] = true
 	}
 	return items
 }
 
+// isHeavy tells whether many bytes move if a piece of the stage is made away from what it reads or what reads it. Each
+// piece of a stage reads all results of those before it.
+func (j *job) isHeavy(i int) bool {
+	in, readers := int64(0), 0
+	for _, before := range j.plan.Stages[i].After {
+		in += int64(j.plan.Stages[before].Pieces) * j.plan.Stages[before].ResultBytes
+	}
+	for k := range j.stages {
+		if j.needs(k, i) {
+			readers += j.plan.Stages[k].Pieces
+		}
+	}
+	out := int64(max(1, readers)) * j.plan.Stages[i].ResultBytes
+	return in >= radishbatch.LargeResult || out >= radishbatch.LargeResult
+}
+
+// settle binds the job to the data centre in which its first heavy piece is made.
+func (j *job) settle(dataCentre string) {
+	if j.place != "" {
+		return
+	}
+	j.place = dataCentre
+	for item := range j.items {
+		item.Near = dataCentre
+	}
+}
+
 // take records a piece's result and returns handles that are of no more use.
 func (j *job) take(item *radishbatch.Item, handle string, expires time.Time) []string {
 	i := item.Piece.Stage
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -117,6 +117,9 @@
 	expected := batch.CallTime + time.Duration(len(items))*batch.PieceTime
 	pieces := make([]radish.Piece, len(items))
 	for i, item := range items {
+		if j := c.owners[item]; j != nil && item.IsHeavy {
+			j.settle(t.DataCentre)
+		}
 		item.Tries++
 		item.Avoid = t.Name
 		pieces[i] = item.Piece
--- a/pkg/radishbatch/queue.go
+++ b/pkg/radishbatch/queue.go
@@ -11,7 +11,7 @@
 const (
 	// nearBonus is how much earlier than others a piece counts as due at a target in the data centre where it is needed.
 	nearBonus = 250 * time.Millisecond
-	// LargeResult is the size from which a result is made where it is needed, in bytes.
+	// LargeResult is from how many bytes on results are made where they are needed.
 	LargeResult = 100_000
 	// moveSlack is the time to spare below which a large result is made in another data centre after all.
 	moveSlack = 300 * time.Millisecond
@@ -29,8 +29,10 @@
 	Expires time.Time
 	// Bytes is about the size of the result.
 	Bytes int64
-	// Near is the data centre in which the result is needed; "" when it does not matter.
+	// Near is the data centre in which the result is needed or the inputs lie; "" when it does not matter.
 	Near string
+	// IsHeavy tells whether so many bytes go in or out that the piece should be made in that data centre.
+	IsHeavy bool
 	// Worth is what the call is worth against others.
 	Worth float64
 	// Tries counts the calls that the piece was part of, Avoid names the target of the last one.
@@ -97,17 +99,23 @@
 	slices.SortStableFunc(ordered, func(a, b *Item) int { return c.compare(a, b, now, end) })
 	chosen := make(map[*Item]bool, limit)
 	var taken []*Item
+	calls := make(map[string]bool)
 	room := c.RoomBytes
 	for _, i := range ordered {
-		if len(taken) == limit {
+		if len(taken) == c.MaxPieces {
 			break
 		}
+		// The pieces of a call stay together: what needs them waits for the last one.
+		if len(taken) >= limit && !calls[i.Piece.CallID] {
+			continue
+		}
 		if i.Avoid == c.Target && c.UsableTargets > 1 || i.Bytes > room || c.belongsElsewhere(i, end) {
 			continue
 		}
 		room -= i.Bytes
 		taken = append(taken, i)
 		chosen[i] = true
+		calls[i.Piece.CallID] = true
 	}
 	q.items = slices.DeleteFunc(q.items, func(i *Item) bool { return chosen[i] })
 	return taken
@@ -141,14 +149,11 @@
 	}
 	switch ra {
 	case rankInTime:
-		return c.effectiveDue(a).Compare(c.effectiveDue(b))
+		return cmp.Or(c.effectiveDue(a).Compare(c.effectiveDue(b)), cmp.Compare(a.Piece.CallID, b.Piece.CallID))
 	case rankStarted:
 		return a.Expires.Compare(b.Expires)
 	default:
-		if a.Worth != b.Worth {
-			return cmp.Compare(b.Worth, a.Worth)
-		}
-		return a.Due.Compare(b.Due)
+		return cmp.Or(cmp.Compare(b.Worth, a.Worth), a.Due.Compare(b.Due), cmp.Compare(a.Piece.CallID, b.Piece.CallID))
 	}
 }
 
@@ -159,9 +164,9 @@
 	return i.Due
 }
 
-// belongsElsewhere tells whether a large result should be made by a target of the data centre that needs it.
+// belongsElsewhere tells whether a heavy piece should be made by a target of the data centre that it belongs to.
 func (c *Call) belongsElsewhere(i *Item, end time.Time) bool {
-	if i.Bytes < LargeResult || i.Near == "" || i.Near == c.DataCentre || !c.Places[i.Near] {
+	if !i.IsHeavy || i.Near == "" || i.Near == c.DataCentre || !c.Places[i.Near] {
 		return false
 	}
 	spare := i.Due.Sub(end)
