Pause longer after changes on VMs that are not checkers

Change: VMs other than the two checkers of a kind collect changes for 0.5 to 2 s; the checkers tell them within milliseconds.

--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -46,13 +46,16 @@
 	idleTimeout = 2 * time.Minute
 )
 
-// pauses collect changes of a kind into one call to the store; they are a part of the time within which a change must
-// be in force, two seconds for configurations and targets.
+// pauses collect changes of a kind into one call to the store. Configurations and targets must be in force within two
+// seconds, also when no checker can be reached.
 var pauses = map[radish.RecordKind]time.Duration{
-	radish.RecordConfig: 100 * time.Millisecond, radish.RecordTarget: 300 * time.Millisecond,
-	radish.RecordEvacuation: 300 * time.Millisecond, radish.RecordVM: time.Second,
+	radish.RecordConfig: 500 * time.Millisecond, radish.RecordTarget: 1200 * time.Millisecond,
+	radish.RecordEvacuation: time.Second, radish.RecordVM: 2 * time.Second,
 }
 
+// checkerPause is the pause of the VMs from which the others learn of changes first.
+const checkerPause = 150 * time.Millisecond
+
 // checkIntervals are how often a checker reads a kind again.
 var checkIntervals = map[radish.RecordKind]time.Duration{
 	radish.RecordConfig: time.Second, radish.RecordTarget: time.Second,
@@ -334,7 +337,7 @@
 	for _, kind := range radish.RecordKinds {
 		f := &radishsync.Follower{
 			Kind: kind, Store: s.Store, Mirror: &s.mirror, OnReach: s.beliefs.reach, Log: s.Log.Named("store"),
-			Pause: pauses[kind], CheckInterval: checkIntervals[kind], IsChecker: func() bool { return s.peers.isChecker(kind) },
+			Pause: pauses[kind], CheckerPause: checkerPause, CheckInterval: checkIntervals[kind], IsChecker: func() bool { return s.peers.isChecker(kind) },
 			OnNews: func(news []radish.Record) { s.peers.takeNews(news, "store") },
 		}
 		add(f.Run)
--- a/internal/radishsync/follower.go
+++ b/internal/radishsync/follower.go
@@ -28,8 +28,10 @@
 	Mirror *radishmirror.Mirror
 	// OnNews is called with changes that were news.
 	OnNews func([]radish.Record)
-	// Pause collects changes that come one after the other into one call.
-	Pause time.Duration
+	// Pause collects changes that come one after the other into one call; a checker pauses for CheckerPause, and the
+	// others learn from it what they would miss.
+	Pause        time.Duration
+	CheckerPause time.Duration
 	// IsChecker tells whether this VM reads the whole list again every CheckInterval: a watch may stay silent while its
 	// history is being dropped.
 	IsChecker     func() bool
@@ -47,6 +49,13 @@
 	return f.follow(ctx)
 }
 
+func (f *Follower) pause() time.Duration {
+	if f.IsChecker() {
+		return f.CheckerPause
+	}
+	return f.Pause
+}
+
 // check reads the list again at an interval while this VM is a checker.
 func (f *Follower) check(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -79,7 +88,7 @@
 		switch {
 		case err == nil:
 			revision, pause = next, retryFirst
-			sleep(ctx, f.Pause)
+			sleep(ctx, f.pause())
 			continue
 		case errors.Is(err, radish.ErrHistoryGone):
 			f.Log.Info("history gone, listing again", "kind", string(f.Kind), "revision", revision)
