Spread refused callers over the later part of their time

Change: a caller that the stages have no room for is told to come back in the later half of the third of its time within which it does.

--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -208,7 +209,7 @@
 	retryAfter := spread(capacityRetry)
 	var refused *radishstage.RefusedError
 	if errors.As(err, &refused) {
-		retryAfter = spread(refused.RetryAfter)
+		retryAfter = returnAfter(refused.RetryAfter, time.Until(e.deadline))
 	}
 	if e.sends > 0 {
 		e.refuse(radish.Refusal{Kind: radish.RefusalFailed, Reason: err.Error()})
@@ -217,6 +218,20 @@
 	e.refuse(radish.Refusal{Kind: radish.RefusalNotRun, RetryAfter: retryAfter, Reason: err.Error()})
 }
 
+// Callers come back once, and within returnShare of the time that they have left. One that comes back while the load
+// lasts is refused for good, so they are spread over the later part of that time.
+const (
+	returnShare = 0.32
+	returnFirst = 0.5
+)
+
+// returnAfter is when a caller may come back to stages that are full for the given time.
+func returnAfter(full, left time.Duration) time.Duration {
+	last := time.Duration(returnShare * float64(left))
+	first := min(last, max(full, time.Duration(returnFirst*float64(last))))
+	return first + rand.N(max(time.Millisecond, last-first))
+}
+
 // isGone tells whether the caller has left, rather than that its time is up.
 func isGone(ctx context.Context) bool { return errors.Is(context.Cause(ctx), context.Canceled) }
 
