--- a/internal/radishmetric/metric.go
+++ b/internal/radishmetric/metric.go
@@ -25,6 +25,9 @@
 	retries  metric.Int64Counter
 	permits  metric.Int64Counter
 	orders   metric.Int64Counter
+	plans    metric.Int64Counter
+	calls    metric.Float64Histogram
+	pieces   metric.Int64Histogram
 
 	mu   sync.RWMutex
 	sets map[[3]string]metric.MeasurementOption
@@ -46,7 +49,7 @@
 }
 
 func (m *Metrics) createInstruments() error {
-	var errs [6]error
+	var errs [9]error
 	m.requests, errs[0] = m.meter.Int64Counter("radishramp_requests", metric.WithDescription("Requests by pipeline and outcome."))
 	m.latency, errs[1] = m.meter.Float64Histogram("radishramp_request_seconds",
 		metric.WithDescription("Time from a request's arrival to the end of its answer."),
@@ -55,6 +58,11 @@
 	m.retries, errs[3] = m.meter.Int64Counter("radishramp_retries", metric.WithDescription("Retries by service."))
 	m.permits, errs[4] = m.meter.Int64Counter("radishramp_permits", metric.WithDescription("Permits for cold targets asked for, by result."))
 	m.orders, errs[5] = m.meter.Int64Counter("radishramp_orders", metric.WithDescription("Orders to targets by service and outcome."))
+	m.plans, errs[6] = m.meter.Int64Counter("radishramp_plans", metric.WithDescription("Plans of stages at this coordinator by outcome."))
+	m.calls, errs[7] = m.meter.Float64Histogram("radishramp_stage_call_seconds", metric.WithDescription("Time of calls to stage targets by service and result."),
+		metric.WithExplicitBucketBoundaries(.1, .2, .3, .4, .5, .7, 1, 2, 5))
+	m.pieces, errs[8] = m.meter.Int64Histogram("radishramp_stage_call_pieces", metric.WithDescription("Pieces of calls to stage targets by service."),
+		metric.WithExplicitBucketBoundaries(1, 2, 5, 10, 20, 50))
 	return trace.NewAggregate(errs[:]...)
 }
 
@@ -75,6 +83,10 @@
 		"attempt": {"service", "result"},
 		"retry":   {"service", ""},
 		"permit":  {"result", ""},
+		"order":   {"service", "outcome"},
+		"plan":    {"outcome", ""},
+		"call":    {"service", "result"},
+		"pieces":  {"service", ""},
 	}[instrument]
 	list := []attribute.KeyValue{attribute.String(attributes[0], first)}
 	if attributes[1] != "" {
@@ -130,6 +142,26 @@
 	}
 }
 
+// Plan counts a plan of stages.
+func (m *Metrics) Plan(outcome string) {
+	if m != nil {
+		m.plans.Add(context.Background(), 1, m.set("plan", outcome, ""))
+	}
+}
+
+// StageCall counts a call to a target of a stage service and its pieces.
+func (m *Metrics) StageCall(service string, took time.Duration, pieces int, answered bool) {
+	if m == nil {
+		return
+	}
+	result := "failed"
+	if answered {
+		result = "answered"
+	}
+	m.calls.Record(context.Background(), took.Seconds(), m.set("call", service, result))
+	m.pieces.Record(context.Background(), int64(pieces), m.set("pieces", service, ""))
+}
+
 // Gauge exports a value that is read at each collection.
 func (m *Metrics) Gauge(name, description string, read func() float64) error {
 	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -136,6 +136,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := time.Now()
+	known := e.relay.Fleet.Known(t.Name, began)
 	send := &radish.Send{
 		Call: e.call, Target: t, Left: time.Until(e.deadline), Inputs: e.lastHandles(), ResumeAfter: e.resumeAfter(), Priority: -1,
 	}
@@ -152,8 +153,9 @@
 	e.relay.Fleet.Done(t.Name, outcome, time.Now())
 	e.relay.Metrics.Attempt(e.service.Name, verdictName(v, outcome))
 	e.relay.Log.Info("attempt ended", "id", e.call.ID, "target", t.Name, "data_centre", t.DataCentre, "verdict", verdictName(v, outcome),
-		"status", statusOf(answer), "took_ms", time.Since(began).Milliseconds(),
-		"input_bytes", inputBytes, "error", errorText(err))
+		"status", statusOf(answer), "took_ms", time.Since(began).Milliseconds(), "left_ms", send.Left.Milliseconds(),
+		"record_age_ms", known.RecordAge.Milliseconds(), "busy", known.Busy, "failure_share", known.FailureShare, "cold", known.IsCold,
+		"usable", known.Usable, "targets", known.Targets, "resume_after", send.ResumeAfter, "input_bytes", inputBytes, "error", errorText(err))
 	return v
 }
 
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -39,7 +39,9 @@
 // Relay answers calls; set the exported fields before first use.
 type Relay struct {
 	// Config returns the configuration in force, nil before the first.
-	Config    func() *radishroute.Config
+	Config func() *radishroute.Config
+	// ConfigAge returns the time since the configuration came into force at this VM.
+	ConfigAge func() time.Duration
 	Fleet     *radishfleet.Fleet
 	Forwarder radish.Forwarder
 	Stages    StageRunner
@@ -172,6 +174,13 @@
 	return e.route.Name
 }
 
+func (e *exchange) teamName() string {
+	if e.team == nil {
+		return ""
+	}
+	return e.team.Name
+}
+
 func (e *exchange) configVersion() int64 {
 	if e.cfg == nil {
 		return 0
@@ -182,5 +191,6 @@
 func (e *exchange) finish() {
 	took := time.Since(e.call.Received)
 	e.relay.Metrics.Request(e.routeName(), e.outcome, took)
-	e.relay.Log.Info("call ended", "id", e.call.ID, "outcome", e.outcome, "route", e.routeName(), "sends", e.sends, "took_ms", took.Milliseconds())
+	e.relay.Log.Info("call ended", "id", e.call.ID, "outcome", e.outcome, "route", e.routeName(), "team", e.teamName(), "sends", e.sends,
+		"took_ms", took.Milliseconds(), "config_version", e.configVersion(), "config_age_ms", e.relay.ConfigAge().Milliseconds())
 }
--- a/internal/radishsite/belief.go
+++ b/internal/radishsite/belief.go
@@ -37,7 +37,8 @@
 	// onChange is called after targets or the configuration have changed.
 	onChange func()
 
-	config atomic.Pointer[radishroute.Config]
+	config   atomic.Pointer[radishroute.Config]
+	configAt atomic.Pointer[time.Time]
 
 	mu         sync.Mutex
 	storeAway  bool
@@ -74,6 +75,8 @@
 	if !ok || known != nil && cfg.Version <= known.Version {
 		return
 	}
+	now := time.Now()
+	b.configAt.Store(&now)
 	b.config.Store(cfg)
 	b.log.Info("configuration in force", "version", cfg.Version, "revision", r.Revision, "source", source, "routes", len(cfg.Routes), "services", len(cfg.Services))
 }
@@ -134,6 +137,14 @@
 	return names
 }
 
+// configAge is the time since the configuration came into force at this VM; 0 before the first.
+func (b *beliefs) configAge() time.Duration {
+	if at := b.configAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return 0
+}
+
 // reach notes whether the store answered a call.
 func (b *beliefs) reach(reached bool) {
 	b.mu.Lock()
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -116,7 +116,7 @@
 		Self: self.Name, Owners: s.peers.owners, Peers: s.peers.node, Local: s.coordinator, Shards: s.shards, Log: s.Log.Named("stage"),
 	}
 	s.relay = &radishrelay.Relay{
-		Config: s.beliefs.config.Load, Fleet: s.fleet, Forwarder: s.Forwarder, Stages: s.peers.router,
+		Config: s.beliefs.config.Load, ConfigAge: s.beliefs.configAge, Fleet: s.fleet, Forwarder: s.Forwarder, Stages: s.peers.router,
 		Budget: &radishtarget.RetryBudget{Burst: s.retryBurst}, RetryShare: func() float64 { return s.site.Load().RetryShare }, Metrics: s.metrics, Log: s.Log.Named("call"),
 	}
 	return s.addGauges()
@@ -133,7 +133,12 @@
 	}{
 		{"radishramp_in_flight", "Requests in flight.", func() float64 { return float64(s.inFlight.Load()) }},
 		{"radishramp_config_version", "Version of the configuration in force.", func() float64 { return float64(s.configVersion()) }},
+		{"radishramp_config_age_seconds", "Time since the configuration came into force here.", func() float64 { return s.beliefs.configAge().Seconds() }},
 		{"radishramp_peers_linked", "Peers with an open link.", func() float64 { return float64(len(s.peers.node.Linked())) }},
+		{"radishramp_peer_bytes_sent", "Bytes sent over the peer links.", func() float64 { sent, _ := s.peers.node.Traffic(); return float64(sent) }},
+		{"radishramp_peer_bytes_received", "Bytes received over the peer links.", func() float64 { _, received := s.peers.node.Traffic(); return float64(received) }},
+		{"radishramp_store_away", "1 while the store does not answer.", func() float64 { return boolGauge(s.beliefs.isStoreAway()) }},
+		{"radishramp_is_ready", "1 while the VM says that it is ready.", func() float64 { return boolGauge(s.isReady()) }},
 	}
 	for _, g := range gauges {
 		if err := s.metrics.Gauge(g.name, g.description, g.read); err != nil {
@@ -143,6 +148,13 @@
 	return nil
 }
 
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (s *Server) configVersion() int64 {
 	if cfg := s.beliefs.config.Load(); cfg != nil {
 		return cfg.Version
@@ -158,7 +170,7 @@
 	c := s.coordinators[key]
 	if c == nil {
 		c = &radishstage.Coordinator{
-			Fleet: s.fleet, Client: s.Stages, Batch: s.batchOf, Shard: shard, Shards: shards, Log: s.Log.Named("stage").With("shard", shard),
+			Fleet: s.fleet, Client: s.Stages, Batch: s.batchOf, Shard: shard, Shards: shards, Metrics: s.metrics, Log: s.Log.Named("stage").With("shard", shard),
 		}
 		s.coordinators[key] = c
 	}
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishbatch"
 	"radishramp.example/radishramp/pkg/radishfleet"
@@ -39,7 +41,9 @@
 	Batch func(service string) *radishroute.Batch
 	// Shard of Shards is the part of each service's targets that this coordinator uses.
 	Shard, Shards int
-	Log           hclog.Logger
+	// Metrics counts plans and calls; nil counts nothing.
+	Metrics *radishmetric.Metrics
+	Log     hclog.Logger
 
 	mu      sync.Mutex
 	jobs    map[*job]bool
@@ -122,7 +126,13 @@
 }
 
 func (c *Coordinator) refused(p *Plan, err *RefusedError, took time.Duration) error {
-	c.Log.Info("plan refused", "id", p.CallID, "reason", err.Reason, "expected_ms", took.Milliseconds(), "jobs", len(c.jobs), "retry_after_ms", err.RetryAfter.Milliseconds())
+	waiting := make(map[string]int, len(c.queues))
+	for service, q := range c.queues {
+		waiting[service] = q.Len()
+	}
+	c.Metrics.Plan("refused")
+	c.Log.Info("plan refused", "id", p.CallID, "reason", err.Reason, "expected_ms", took.Milliseconds(), "jobs", len(c.jobs), "waiting", waiting,
+		"retry_after_ms", err.RetryAfter.Milliseconds())
 	return err
 }
 
@@ -233,13 +243,24 @@
 				c.giveUp(made(j.stages[i].handles))
 			}
 		}
-		c.Log.Info("plan failed", "id", j.plan.CallID, "error", err.Error())
 	}
+	c.Metrics.Plan(outcomeOf(err))
 	c.Log.Info("plan ended", "id", j.plan.CallID, "took_ms", time.Since(j.began).Milliseconds(), "expected_ms", j.expected.Milliseconds(),
-		"due_ms", j.plan.Due.Sub(j.began).Milliseconds(), "jobs", len(c.jobs))
+		"due_ms", j.plan.Due.Sub(j.began).Milliseconds(), "jobs", len(c.jobs), "error", errorText(err))
 	close(j.done)
 }
 
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "made"
+	case errors.Is(err, ErrFailed):
+		return "failed"
+	default:
+		return "left"
+	}
+}
+
 // Wake looks at the waiting pieces again, as when targets have changed.
 func (c *Coordinator) Wake() {
 	c.mu.Lock()
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -180,6 +180,7 @@
 	now := time.Now()
 	s := c.slotOf(call.target)
 	s.calls = max(0, s.calls-1)
+	c.Metrics.StageCall(call.service, call.took, len(call.items), call.err == nil)
 	c.Log.Debug("stage call ended", "target", call.target.Name, "service", call.service, "pieces", len(call.items),
 		"took_ms", call.took.Milliseconds(), "expected_ms", call.expected.Milliseconds(), "waiting", c.queueOf(call.service).Len(), "error", errorText(call.err))
 	if call.err != nil {
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -42,6 +42,7 @@
 // state is what is known of one target.
 type state struct {
 	target    radish.Target
+	setAt     time.Time
 	coldUntil time.Time
 	coldSends []time.Time
 	inFlight  int
@@ -75,7 +76,7 @@
 		f.byService[t.Service] = append(f.byService[t.Service], s)
 	}
 	isChange := isNew || s.target.Leaving != t.Leaving
-	s.target = t
+	s.target, s.setAt = t, now
 	s.coldUntil = now.Add(t.ColdFor)
 	return isChange
 }
@@ -104,15 +105,34 @@
 	f.evacuated = dataCentres
 }
 
-// Names returns the names of all targets.
-func (f *Fleet) Names() []string {
+// Known is what decided a choice, for logs.
+type Known struct {
+	// RecordAge is the time since the target's record was taken in.
+	RecordAge time.Duration
+	// Busy is how many calls the target has, as far as is known, FailureShare the share of failed calls of late.
+	Busy         int
+	FailureShare float64
+	IsCold       bool
+	// Usable of Targets of the service may take work.
+	Usable, Targets int
+}
+
+// Known returns what is known of the target and its service.
+func (f *Fleet) Known(name string, now time.Time) Known {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	names := make([]string, 0, len(f.targets))
-	for name := range f.targets {
-		names = append(names, name)
+	s := f.targets[name]
+	if s == nil {
+		return Known{}
+	}
+	k := Known{RecordAge: now.Sub(s.setAt), Busy: int(s.busy(now)), FailureShare: s.failureShare(now), IsCold: now.Before(s.coldUntil)}
+	for _, other := range f.byService[s.target.Service] {
+		k.Targets++
+		if f.isUsable(other) && !f.isOut(other, now) {
+			k.Usable++
+		}
 	}
-	return names
+	return k
 }
 
 // Query asks for a target.
