--- /dev/null
+++ b/internal/radishsite/peer_test.go
@@ -0,0 +1,195 @@
+package radishsite
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishpeer"
+)
+
+// pipes is a network of in-memory connections between VMs.
+type pipes struct {
+	mu        sync.Mutex
+	listeners map[string]chan net.Conn
+}
+
+type pipeListener struct {
+	address string
+	conns   chan net.Conn
+	once    sync.Once
+	done    chan struct{}
+}
+
+func (p *pipes) listen(address string) *pipeListener {
+	l := &pipeListener{address: address, conns: make(chan net.Conn), done: make(chan struct{})}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listeners[address] = l.conns
+	return l
+}
+
+func (p *pipes) dial(ctx context.Context, address string) (net.Conn, error) {
+	p.mu.Lock()
+	conns := p.listeners[address]
+	p.mu.Unlock()
+	if conns == nil {
+		return nil, radish.ErrUnavailable
+	}
+	ours, theirs := net.Pipe()
+	select {
+	case conns <- theirs:
+		return ours, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// startPeers runs n VMs that know each other from the store's records.
+func startPeers(t *testing.T, n int) []*peers {
+	network := &pipes{listeners: make(map[string]chan net.Conn)}
+	var records []radish.Record
+	var vms []*peers
+	for i := range n {
+		name := fmt.Sprint("vm-", i)
+		self := radish.VMRecord{Name: name, Address: name + ":1", DataCentre: "a", Incarnation: 1}
+		value, err := json.Marshal(self)
+		if err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, radish.Record{Kind: radish.RecordVM, Name: name, Revision: int64(i + 1), Value: value})
+		b := newBeliefs()
+		p := &peers{
+			self: self, mirror: b.mirror, beliefs: b, seeds: func() []string { return nil }, log: hclog.NewNullLogger(), news: make(chan struct{}, 1),
+			isClosed: func() bool { return false },
+		}
+		p.node = &radishpeer.Node{Name: name, Listener: network.listen(self.Address), Handler: p, Dial: network.dial, Log: hclog.NewNullLogger()}
+		vms = append(vms, p)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for _, p := range vms {
+		p.mirror.ApplyUpTo(radish.RecordVM, records, int64(n))
+		wg.Go(func() { _ = p.node.Run(ctx) })
+		wg.Go(func() { _ = p.Run(ctx) })
+		synctest.Wait()
+		p.update()
+	}
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	time.Sleep(time.Second)
+	return vms
+}
+
+// inBubble runs the test in paused time; yamux keeps timers in a pool that outlives bubbles.
+func inBubble(t *testing.T, f func(t *testing.T)) {
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+}
+
+// TestNewsReachVMsThatTheStoreTurnsAway tells one VM of a configuration: the others have it within a part of the two
+// seconds in which it must be in force.
+func TestNewsReachVMsThatTheStoreTurnsAway(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		vms := startPeers(t, 12)
+		news := vms[0].mirror.ApplyUpTo(radish.RecordConfig, []radish.Record{{Kind: radish.RecordConfig, Name: "main", Revision: 70}}, 70)
+		vms[0].takeNews(news, "store")
+		time.Sleep(1500 * time.Millisecond)
+		for _, p := range vms {
+			if cfg := p.beliefs.config.Load(); cfg == nil || cfg.Version != 70 {
+				t.Errorf("%s has not heard of the configuration", p.self.Name)
+			}
+		}
+	})
+}
+
+func TestAllVMsNameOneCoordinator(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		vms := startPeers(t, 6)
+		first := vms[0].owners(0, 1)[0]
+		for _, p := range vms {
+			if got := p.owners(0, 1)[0]; got != first {
+				t.Errorf("%s names %s, others %s", p.self.Name, got, first)
+			}
+		}
+		checkers := 0
+		for _, p := range vms {
+			if p.isChecker(radish.RecordConfig) {
+				checkers++
+			}
+		}
+		if checkers != 2 {
+			t.Errorf("%d VMs check the configuration, want 2", checkers)
+		}
+	})
+}
+
+func TestLeavingVMIsNoCoordinator(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		vms := startPeers(t, 4)
+		first := vms[0].owners(0, 1)[0]
+		for _, p := range vms {
+			if p.self.Name == first {
+				p.isClosed = func() bool { return true }
+				p.tellLeaving(t.Context())
+			}
+		}
+		for _, p := range vms {
+			if got := p.owners(0, 1)[0]; got == first {
+				t.Errorf("%s still names %s, which leaves", p.self.Name, got)
+			}
+		}
+	})
+}
+
+func TestVMThatTheStoreTurnsAwayIsNoChecker(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		vms := startPeers(t, 5)
+		var away *peers
+		for _, p := range vms {
+			if p.isChecker(radish.RecordTarget) {
+				away = p
+				break
+			}
+		}
+		away.beliefs.reach(false)
+		time.Sleep(5 * time.Second)
+		checkers := 0
+		for _, p := range vms {
+			if p != away && p.isChecker(radish.RecordTarget) {
+				checkers++
+			}
+		}
+		if checkers != 2 {
+			t.Errorf("%d other VMs check the targets, want 2", checkers)
+		}
+	})
+}
