--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -218,11 +218,11 @@
 		return
 	}
 	p.hear(res.GetSite())
-	p.fetchNewer(res.GetSite())
+	p.fetchNewer(name, res.GetSite())
 }
 
-// fetchNewer fetches what the peer knows beyond what this VM knows.
-func (p *peers) fetchNewer(h *radishpeerpb.SiteHeartbeat) {
+// fetchNewer fetches what the peer knows beyond what this VM knows; a seed's link bears its address for a name.
+func (p *peers) fetchNewer(name string, h *radishpeerpb.SiteHeartbeat) {
 	ctx, cancel := context.WithTimeout(context.Background(), gossipTimeout)
 	defer cancel()
 	for kind, complete := range h.GetComplete() {
@@ -232,7 +232,7 @@
 		// The store tells this VM as well, most often a little later.
 		time.Sleep(fetchDelay)
 		if complete > p.mirror.Complete(radish.RecordKind(kind)) {
-			p.fetch(ctx, h.GetVm(), radish.RecordKind(kind))
+			p.fetch(ctx, name, radish.RecordKind(kind))
 		}
 	}
 }
@@ -311,7 +311,7 @@
 	switch body := req.GetBody().(type) {
 	case *radishpeerpb.Request_Site:
 		p.hear(body.Site)
-		go p.fetchNewer(body.Site)
+		go p.fetchNewer(body.Site.GetVm(), body.Site)
 		return &radishpeerpb.Response{Body: &radishpeerpb.Response_Site{Site: p.heartbeat()}}, nil
 	case *radishpeerpb.Request_Records:
 		return p.answerRecords(body.Records), nil
--- a/internal/radishsite/peer_test.go
+++ b/internal/radishsite/peer_test.go
@@ -70,25 +70,32 @@
 
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// newPeers makes one VM that knows nothing yet.
+func newPeers(network *pipes, name string, seeds func() []string) *peers {
+	b := newBeliefs()
+	p := &peers{
+		self: radish.VMRecord{Name: name, Address: name + ":1", DataCentre: "a", Incarnation: 1}, mirror: b.mirror, beliefs: b, seeds: seeds,
+		log: hclog.NewNullLogger(), news: make(chan struct{}, 1), isClosed: func() bool { return false },
+	}
+	p.node = &radishpeer.Node{Name: name, Listener: network.listen(p.self.Address), Handler: p, Dial: network.dial, Log: hclog.NewNullLogger()}
+	return p
+}
+
 // startPeers runs n VMs that know each other from the store's records.
 func startPeers(t *testing.T, n int) []*peers {
-	network := &pipes{listeners: make(map[string]chan net.Conn)}
+	return startPeersOn(t, &pipes{listeners: make(map[string]chan net.Conn)}, n)
+}
+
+func startPeersOn(t *testing.T, network *pipes, n int) []*peers {
 	var records []radish.Record
 	var vms []*peers
 	for i := range n {
-		name := fmt.Sprint("vm-", i)
-		self := radish.VMRecord{Name: name, Address: name + ":1", DataCentre: "a", Incarnation: 1}
-		value, err := json.Marshal(self)
+		p := newPeers(network, fmt.Sprint("vm-", i), func() []string { return nil })
+		value, err := json.Marshal(p.self)
 		if err != nil {
 			t.Fatal(err)
 		}
-		records = append(records, radish.Record{Kind: radish.RecordVM, Name: name, Revision: int64(i + 1), Value: value})
-		b := newBeliefs()
-		p := &peers{
-			self: self, mirror: b.mirror, beliefs: b, seeds: func() []string { return nil }, log: hclog.NewNullLogger(), news: make(chan struct{}, 1),
-			isClosed: func() bool { return false },
-		}
-		p.node = &radishpeer.Node{Name: name, Listener: network.listen(self.Address), Handler: p, Dial: network.dial, Log: hclog.NewNullLogger()}
+		records = append(records, radish.Record{Kind: radish.RecordVM, Name: p.self.Name, Revision: int64(i + 1), Value: value})
 		vms = append(vms, p)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -193,3 +200,29 @@
 		}
 	})
 }
+
+// TestVMThatStartsInAnOutageLearnsFromASeed starts a VM that knows no more than the address of another one.
+func TestVMThatStartsInAnOutageLearnsFromASeed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		network := &pipes{listeners: make(map[string]chan net.Conn)}
+		vms := startPeersOn(t, network, 3)
+		news := vms[0].mirror.ApplyUpTo(radish.RecordConfig, []radish.Record{{Kind: radish.RecordConfig, Name: "main", Revision: 70}}, 70)
+		vms[0].takeNews(news, "store")
+		late := newPeers(network, "late", func() []string { return []string{"vm-1:1"} })
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = late.node.Run(ctx) })
+		wg.Go(func() { _ = late.Run(ctx) })
+		synctest.Wait()
+		late.update()
+		time.Sleep(3 * time.Second)
+		if cfg := late.beliefs.config.Load(); cfg == nil || cfg.Version != 70 {
+			t.Error("the late VM has no configuration")
+		}
+		if n := late.count(); n != 4 {
+			t.Errorf("the late VM knows %d VMs, want 4", n)
+		}
+		cancel()
+		wg.Wait()
+	})
+}
