Keep inputs until their readers fit, and do not shun a piece's only target

Change: inputs are given up early only when the reading call leaves a fifth of the room; pieces that were turned away count as not begun. A piece shuns the target that did not make it for half a second only, and a late heavy piece waits a second for its place.

Before and after: TestInputsOutliveATargetWithoutRoom and TestHeavyPieceIsTriedAgainWhereItBelongs were red (input_gone; took 9.81 s) and are green.

--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -207,7 +207,7 @@
 		return
 	}
 	for _, i := range j.ready() {
-		items := j.enqueue(i)
+		items := j.enqueue(i, time.Now())
 		for _, item := range items {
 			c.owners[item] = j
 		}
@@ -301,7 +301,9 @@
 		}
 		if items := q.Take(call, now); len(items) > 0 {
 			c.start(t, service, batch, items, now)
-			c.freeInputsSoon(items)
+			if c.hasRoomToSpare(call, items, batch) {
+				c.freeInputsSoon(items)
+			}
 		}
 	}
 }
--- a/internal/radishstage/coordinator_test.go
+++ b/internal/radishstage/coordinator_test.go
@@ -32,7 +32,9 @@
 	given map[string][]string
 	// slow and broken name targets that take ten times as long, or break off.
 	slow, broken map[string]bool
-	made         int
+	// full is how often targets have no room for any result.
+	full map[string]int
+	made int
 }
 
 func (f *fakeTargets) RunPieces(ctx context.Context, t radish.Target, pieces []radish.Piece) ([]radish.PieceResult, error) {
@@ -50,8 +52,17 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.full == nil {
+		f.full = make(map[string]int)
+	}
 	results := make([]radish.PieceResult, len(pieces))
+	isFull := f.full[t.Name] > 0
+	f.full[t.Name]--
 	for i, p := range pieces {
+		if isFull {
+			results[i] = radish.PieceResult{Outcome: radish.PieceNoRoom}
+			continue
+		}
 		f.made++
 		for _, input := range p.Inputs {
 			if f.freed[input] {
@@ -326,3 +337,47 @@
 		}
 	})
 }
+
+// TestInputsOutliveATargetWithoutRoom has the second stage's targets refuse results for want of room: its inputs must
+// still be there when the pieces are tried again.
+func TestInputsOutliveATargetWithoutRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, fake := newCoordinator(2)
+		fake.full = map[string]int{"rank-0": 2, "rank-1": 2}
+		batch := c.Batch("")
+		// Results of the first stage fill the room of their makers, those of the second the room of theirs.
+		c.Batch = func(service string) *radishroute.Batch {
+			b := *batch
+			b.RoomBytes = 400
+			if service == "enc" {
+				b.RoomBytes = 150
+			}
+			return &b
+		}
+		if _, err := c.Run(t.Context(), newPlan("call", 5*time.Second)); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestHeavyPieceIsTriedAgainWhereItBelongs has the only target of a call's data centre fail once, when the call is late
+// already: its pieces go on there or elsewhere, soon.
+func TestHeavyPieceIsTriedAgainWhereItBelongs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, fake := newCoordinator(1)
+		for _, service := range []string{"enc", "rank"} {
+			c.Fleet.Set(radish.Target{Name: service + "-far", Address: service + "-far:1", DataCentre: "b", Service: service, Slots: 1}, time.Now())
+		}
+		fake.full = map[string]int{"rank-0": 1}
+		plan := newPlan("call", 600*time.Millisecond)
+		plan.Near = "a"
+		plan.Stages[1].ResultBytes = 200_000
+		began := time.Now()
+		if _, err := c.Run(t.Context(), plan); err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(began); took > 2500*time.Millisecond {
+			t.Errorf("took %v", took)
+		}
+	})
+}
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -31,8 +31,8 @@
 	// handles are by piece; "" until it is made.
 	handles []string
 	freed   bool
-	// running counts the pieces whose calls have begun.
-	running int
+	// running holds the pieces that calls work on or have made.
+	running map[int]bool
 	// expires is when the first of the results ends.
 	expires time.Time
 }
@@ -43,7 +43,7 @@
 		items: make(map[*radishbatch.Item]bool), done: make(chan struct{}),
 	}
 	for i, s := range p.Stages {
-		j.stages[i] = stageState{left: s.Pieces, handles: make([]string, s.Pieces)}
+		j.stages[i] = stageState{left: s.Pieces, handles: make([]string, s.Pieces), running: make(map[int]bool)}
 	}
 	for i := len(p.Stages) - 1; i >= 0; i-- {
 		j.dueOf[i] = p.Due
@@ -95,7 +95,7 @@
 }
 
 // enqueue makes the pieces of a stage whose inputs are there.
-func (j *job) enqueue(i int) []*radishbatch.Item {
+func (j *job) enqueue(i int, now time.Time) []*radishbatch.Item {
 	stage := j.plan.Stages[i]
 	j.stages[i].queued = true
 	var inputs []string
@@ -113,7 +113,8 @@
 			piece.Key = j.plan.Key
 		}
 		items[n] = &radishbatch.Item{
-			Piece: piece, Due: j.dueOf[i], Deadline: j.plan.Deadline, Expires: expires, Bytes: stage.ResultBytes, Near: j.place, IsHeavy: j.isHeavy(i), Worth: j.plan.Worth,
+			Piece: piece, Due: j.dueOf[i], Deadline: j.plan.Deadline, Expires: expires, Bytes: stage.ResultBytes, Near: j.place, IsHeavy: j.isHeavy(i),
+			Worth: j.plan.Worth, Since: now,
 		}
 		j.items[items[n]] = true
 	}
@@ -187,7 +188,7 @@
 		return nil
 	}
 	for k := range j.stages {
-		if j.needs(k, before) && j.stages[k].running < j.plan.Stages[k].Pieces {
+		if j.needs(k, before) && len(j.stages[k].running) < j.plan.Stages[k].Pieces {
 			return nil
 		}
 	}
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -27,6 +27,10 @@
 	roomShare = 0.92
 	// tightShare is the part of the room that is taken from which inputs are given up as soon as they were read.
 	tightShare = 0.5
+	// spareShare is the part of a target's room that a call must leave so that all of its results fit for sure.
+	spareShare = 0.2
+	// avoidTime is how long after a call a piece that it did not make goes to other targets first.
+	avoidTime = 500 * time.Millisecond
 	// readTime is how long after a call's begin its inputs have been read.
 	readTime = 80 * time.Millisecond
 	// giveUpFactor is after how many times the expected time a call is given up.
@@ -121,7 +125,7 @@
 			j.settle(t.DataCentre)
 		}
 		item.Tries++
-		item.Avoid = t.Name
+		item.Avoid, item.AvoidUntil = t.Name, now.Add(expected+avoidTime)
 		pieces[i] = item.Piece
 		pieces[i].Left = item.Deadline.Sub(now)
 	}
@@ -160,9 +164,11 @@
 
 func (c *Coordinator) requeue(service string, items []*radishbatch.Item) {
 	for _, item := range items {
-		if c.owners[item] == nil {
+		j := c.owners[item]
+		if j == nil {
 			continue
 		}
+		delete(j.stages[item.Piece.Stage].running, item.Piece.Number)
 		if item.Tries >= maxTries {
 			c.failItem(item, radish.PieceFailed)
 			continue
@@ -243,6 +249,7 @@
 	switch r.Outcome {
 	case radish.PieceNoRoom:
 		item.Tries--
+		item.Avoid = ""
 		c.requeue(call.service, []*radishbatch.Item{item})
 	case radish.PieceFailed:
 		c.requeue(call.service, []*radishbatch.Item{item})
@@ -251,13 +258,22 @@
 	}
 }
 
+// hasRoomToSpare tells whether all results of the call will fit, so that its inputs are not needed for another one.
+func (c *Coordinator) hasRoomToSpare(call radishbatch.Call, items []*radishbatch.Item, batch *radishroute.Batch) bool {
+	left := call.RoomBytes
+	for _, item := range items {
+		left -= item.Bytes
+	}
+	return float64(left) > spareShare*float64(batch.RoomBytes)
+}
+
 // freeInputsSoon gives up the inputs of the pieces once they were read, where their makers are short of room. If a call
 // fails after that, its inputs are made again.
 func (c *Coordinator) freeInputsSoon(items []*radishbatch.Item) {
 	jobs := make(map[*job]bool)
 	for _, item := range items {
-		if j := c.owners[item]; j != nil && item.Tries == 1 {
-			j.stages[item.Piece.Stage].running++
+		if j := c.owners[item]; j != nil {
+			j.stages[item.Piece.Stage].running[item.Piece.Number] = true
 			jobs[j] = true
 		}
 	}
--- a/pkg/radishbatch/queue.go
+++ b/pkg/radishbatch/queue.go
@@ -15,6 +15,8 @@
 	LargeResult = 100_000
 	// moveSlack is the time to spare below which a large result is made in another data centre after all.
 	moveSlack = 300 * time.Millisecond
+	// placeWait is how long a late piece waits for a target of its data centre.
+	placeWait = time.Second
 	// expirySlack is the time before its inputs end by which a late piece goes first.
 	expirySlack = time.Second
 )
@@ -35,9 +37,13 @@
 	IsHeavy bool
 	// Worth is what the call is worth against others.
 	Worth float64
-	// Tries counts the calls that the piece was part of, Avoid names the target of the last one.
-	Tries int
-	Avoid string
+	// Since is when the piece began to wait for the first time.
+	Since time.Time
+	// Tries counts the calls that the piece was part of. Avoid names the target of the last one, which others go before
+	// until AvoidUntil.
+	Tries      int
+	Avoid      string
+	AvoidUntil time.Time
 }
 
 // Queue holds the pieces that wait for one stage service; the zero value is ready, and its user guards it.
@@ -109,7 +115,7 @@
 		if len(taken) >= limit && !calls[i.Piece.CallID] {
 			continue
 		}
-		if i.Avoid == c.Target && c.UsableTargets > 1 || i.Bytes > room || c.belongsElsewhere(i, end) {
+		if c.isAvoided(i, now) || i.Bytes > room || c.belongsElsewhere(i, now, end) {
 			continue
 		}
 		room -= i.Bytes
@@ -164,11 +170,19 @@
 	return i.Due
 }
 
-// belongsElsewhere tells whether a heavy piece should be made by a target of the data centre that it belongs to.
-func (c *Call) belongsElsewhere(i *Item, end time.Time) bool {
+func (c *Call) isAvoided(i *Item, now time.Time) bool {
+	return i.Avoid == c.Target && c.UsableTargets > 1 && now.Before(i.AvoidUntil)
+}
+
+// belongsElsewhere tells whether a heavy piece should be made by a target of the data centre that it belongs to. A late
+// one waits for that as well, but not for long.
+func (c *Call) belongsElsewhere(i *Item, now, end time.Time) bool {
 	if !i.IsHeavy || i.Near == "" || i.Near == c.DataCentre || !c.Places[i.Near] {
 		return false
 	}
 	spare := i.Due.Sub(end)
-	return spare < 0 || spare > moveSlack
+	if spare < 0 {
+		return now.Sub(i.Since) < placeWait
+	}
+	return spare > moveSlack
 }
--- a/pkg/radishbatch/queue_test.go
+++ b/pkg/radishbatch/queue_test.go
@@ -53,12 +53,17 @@
 		}, func(c *Call) { c.RoomBytes = 100 }, "a0 "},
 		{"not where it failed", func() []*Item {
 			a := item("a", 0, 1000)
-			a.Avoid = "t1"
+			a.Avoid, a.AvoidUntil = "t1", at(100)
 			return []*Item{a, item("b", 0, 2000)}
 		}, nil, "b0 "},
+		{"where it failed some time ago", func() []*Item {
+			a := item("a", 0, 1000)
+			a.Avoid, a.AvoidUntil = "t1", at(-100)
+			return []*Item{a}
+		}, nil, "a0 "},
 		{"where it failed if there is no other", func() []*Item {
 			a := item("a", 0, 1000)
-			a.Avoid = "t1"
+			a.Avoid, a.AvoidUntil = "t1", at(100)
 			return []*Item{a}
 		}, func(c *Call) { c.UsableTargets = 1 }, "a0 "},
 		{"heavy pieces stay in their data centre", func() []*Item {
@@ -71,6 +76,16 @@
 			a.Near, a.IsHeavy = "b", true
 			return []*Item{a}
 		}, nil, "a0 "},
+		{"late heavy pieces wait for their data centre", func() []*Item {
+			a := item("a", 0, 100)
+			a.Near, a.IsHeavy, a.Since = "b", true, at(-900)
+			return []*Item{a}
+		}, nil, ""},
+		{"late heavy pieces do not wait for long", func() []*Item {
+			a := item("a", 0, 100)
+			a.Near, a.IsHeavy, a.Since = "b", true, at(-1000)
+			return []*Item{a}
+		}, nil, "a0 "},
 		{"heavy pieces move when their data centre has no target", func() []*Item {
 			a := item("a", 0, 5000)
 			a.Near, a.IsHeavy = "gone", true
