--- a/internal/radishexplain/explain.go
+++ b/internal/radishexplain/explain.go
@@ -75,15 +75,16 @@
 	return s
 }
 
-// Find returns the lines that name the call, and those around it by which VMs changed what they believed of its targets,
-// in the order of time.
+// Find returns the lines that name the call, and those around it by which the VMs that it met changed what they believed
+// of its targets, in the order of time.
 func Find(lines []Line, id string) []Line {
 	var found []Line
-	targets := make(map[string]bool)
+	targets, vms := make(map[string]bool), make(map[string]bool)
 	for _, l := range lines {
 		if stringOf(l.Fields[fieldID]) == id {
 			found = append(found, l)
 			targets[stringOf(l.Fields[fieldTarget])] = true
+			vms[l.VM] = true
 		}
 	}
 	delete(targets, "")
@@ -94,7 +95,7 @@
 	for _, l := range lines {
 		_, hasID := l.Fields[fieldID]
 		isNear := l.Time.After(first.Add(-around)) && l.Time.Before(last.Add(around))
-		if !hasID && isNear && targets[stringOf(l.Fields[fieldTarget])] {
+		if !hasID && isNear && vms[l.VM] && targets[stringOf(l.Fields[fieldTarget])] {
 			found = append(found, l)
 		}
 	}
--- a/internal/radishexplain/explain_test.go
+++ b/internal/radishexplain/explain_test.go
@@ -11,6 +11,7 @@
 {"@level":"info","@message":"target gone","@timestamp":"2026-01-01T00:00:03Z","target":"i-7","vm":"vm-2"}
 {"@level":"info","@message":"target gone","@timestamp":"2026-01-01T00:01:03Z","target":"i-7","vm":"vm-2"}
 {"@level":"info","@message":"target gone","@timestamp":"2026-01-01T00:00:03Z","target":"i-8","vm":"vm-2"}
+{"@level":"info","@message":"target gone","@timestamp":"2026-01-01T00:00:03Z","target":"i-7","vm":"vm-3"}
 {"@level":"info","@message":"attempt ended","@timestamp":"2026-01-01T00:00:02.6Z","id":"c2","target":"i-7","vm":"vm-2"}
 {"@message":"cut`
 
