Let eight VMs of a kind follow the store, and count on shorter holds of room

Change: VMs other than eight a kind learn of changes from peers, and follow the store themselves when they have heard of no peer that it answers for 0.9 s; the estimate counts 0.4 s for a result's hold.

--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -49,7 +49,9 @@
 	leaving map[string]int64
 	// storeAway holds the VMs that the store does not answer, as they said last.
 	storeAway map[string]bool
-	linked    map[string]bool
+	// heardAt is when a peer that the store answers was heard last.
+	heardAt time.Time
+	linked  map[string]bool
 }
 
 // update takes the VMs' records and keeps links to all of them, and to the seeds while no other VM is known.
@@ -131,16 +133,37 @@
 	return radish.RendezvousOwners(p.reachable(), fmt.Sprintf("stages/%d/%d", shard, shards), ownersKept)
 }
 
+const (
+	// followers is how many VMs ask the store for changes of a kind.
+	followers = 8
+	// hearTime is how long a VM that hears of no peer counts on them to tell it of changes.
+	hearTime = 900 * time.Millisecond
+)
+
+// isFollower tells whether this VM asks the store itself for changes: it is one of the VMs chosen for that, or has not
+// heard of any peer that the store answers of late.
+func (p *peers) isFollower(kind radish.RecordKind) bool {
+	p.mu.Lock()
+	isAlone := time.Since(p.heardAt) > hearTime
+	p.mu.Unlock()
+	return isAlone || p.isChosen("follow/"+string(kind), followers)
+}
+
 // checkers is how many VMs read each kind of record again at an interval.
 const checkers = 2
 
 // isChecker tells whether this VM is one of those that read the kind again, which the store must answer.
 func (p *peers) isChecker(kind radish.RecordKind) bool {
+	return p.isChosen("check/"+string(kind), checkers)
+}
+
+// isChosen tells whether this VM is one of n in reach that the key chooses among those that the store answers.
+func (p *peers) isChosen(key string, n int) bool {
 	names := p.reachable()
 	p.mu.Lock()
 	names = slices.DeleteFunc(names, func(name string) bool { return name != p.self.Name && p.storeAway[name] })
 	p.mu.Unlock()
-	return slices.Contains(radish.RendezvousOwners(names, "check/"+string(kind), checkers), p.self.Name)
+	return slices.Contains(radish.RendezvousOwners(names, key, n), p.self.Name)
 }
 
 // pushPeers is how many random peers are told at once of news; they tell others in turn.
@@ -279,6 +302,9 @@
 		p.storeAway = make(map[string]bool)
 	}
 	p.storeAway[h.GetVm()] = h.GetStoreAway()
+	if !h.GetStoreAway() {
+		p.heardAt = time.Now()
+	}
 	if !h.GetLeaving() {
 		return
 	}
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -350,7 +350,8 @@
 		f := &radishsync.Follower{
 			Kind: kind, Store: s.Store, Mirror: &s.mirror, OnReach: s.beliefs.reach, Log: s.Log.Named("store"),
 			Pause: pauses[kind], CheckerPause: checkerPause, CheckInterval: checkIntervals[kind], IsChecker: func() bool { return s.peers.isChecker(kind) },
-			OnNews: func(news []radish.Record) { s.peers.takeNews(news, "store") },
+			IsFollower: func() bool { return s.peers.isFollower(kind) },
+			OnNews:     func(news []radish.Record) { s.peers.takeNews(news, "store") },
 		}
 		add(f.Run)
 	}
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -30,7 +30,7 @@
 	// fullEfficiency is the part of the targets' highest rate that is counted on.
 	fullEfficiency = 0.85
 	// roomHold is about how long a result takes up room after its call, until the next stage has read it.
-	roomHold = 700 * time.Millisecond
+	roomHold = 400 * time.Millisecond
 )
 
 // Coordinator runs the stages of calls at the targets of one shard in shared calls; set the exported fields before use.
--- a/internal/radishsync/follower.go
+++ b/internal/radishsync/follower.go
@@ -16,6 +16,8 @@
 const (
 	// watchWait is how long a watch waits at the store for a change.
 	watchWait = 25 * time.Second
+	// idleInterval is how often a VM that learns from peers looks whether it must follow the store itself.
+	idleInterval = 100 * time.Millisecond
 	// retryFirst and retryLimit bound the pause after a failed call, which doubles each time.
 	retryFirst = 100 * time.Millisecond
 	retryLimit = time.Second
@@ -32,6 +34,8 @@
 	// others learn from it what they would miss.
 	Pause        time.Duration
 	CheckerPause time.Duration
+	// IsFollower tells whether this VM asks the store for changes; the others learn of them from peers.
+	IsFollower func() bool
 	// IsChecker tells whether this VM reads the whole list again every CheckInterval: a watch may stay silent while its
 	// history is being dropped.
 	IsChecker     func() bool
@@ -80,6 +84,11 @@
 	revision := int64(0)
 	pause := retryFirst
 	for ctx.Err() == nil {
+		if known := f.Mirror.Complete(f.Kind); known > 0 && !f.IsFollower() {
+			revision = known
+			sleep(ctx, idleInterval)
+			continue
+		}
 		next, err := f.step(ctx, revision)
 		if ctx.Err() != nil {
 			break
--- a/internal/radishsync/follower_test.go
+++ b/internal/radishsync/follower_test.go
@@ -23,6 +23,7 @@
 	silent   bool
 	gone     bool
 	away     bool
+	toOthers bool
 	calls    int
 }
 
@@ -39,6 +40,13 @@
 	s.changed = make(chan struct{})
 }
 
+// left tells whether the follower leaves the store to others.
+func (s *fakeStore) left() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.toOthers
+}
+
 func (s *fakeStore) callCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,7 +114,7 @@
 	mirror := &radishmirror.Mirror{}
 	f := &Follower{
 		Kind: radish.RecordConfig, Store: store, Mirror: mirror, Pause: 500 * time.Millisecond, CheckerPause: 100 * time.Millisecond,
-		CheckInterval: time.Second, IsChecker: func() bool { return isChecker }, OnNews: func([]radish.Record) {}, OnReach: func(bool) {},
+		CheckInterval: time.Second, IsChecker: func() bool { return isChecker }, IsFollower: func() bool { return !store.left() }, OnNews: func([]radish.Record) {}, OnReach: func(bool) {},
 		Log: hclog.NewNullLogger(),
 	}
 	done := make(chan struct{})
@@ -215,3 +223,27 @@
 		}
 	})
 }
+
+// TestVMThatLearnsFromPeersMakesNoCalls leaves the store to others; when it is cut off from them it goes on from what
+// they told.
+func TestVMThatLearnsFromPeersMakesNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.set(func() { store.toOthers = true })
+		mirror := follow(t, store, false)
+		time.Sleep(time.Second)
+		before := store.callCount()
+		store.put("a")
+		time.Sleep(time.Minute)
+		if calls := store.callCount() - before; calls > 0 || known(mirror) != 0 {
+			t.Errorf("%d calls, %d changes known", calls, known(mirror))
+		}
+		mirror.ApplyUpTo(radish.RecordConfig, []radish.Record{{Kind: radish.RecordConfig, Name: "a", Revision: 2}}, 2)
+		store.put("b")
+		store.set(func() { store.toOthers = false })
+		time.Sleep(300 * time.Millisecond)
+		if calls := store.callCount() - before; calls > 2 || known(mirror) != 2 {
+			t.Errorf("%d calls, %d changes known after it was cut off", calls, known(mirror))
+		}
+	})
+}
