--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -85,14 +85,13 @@
 
 // usable returns the targets of the service in the coordinator's shard that may take work.
 func (c *Coordinator) usable(service string, now time.Time) []radish.Target {
-	targets := c.Fleet.Usable(service, now)
 	if c.Shards <= 1 {
-		return targets
+		return c.Fleet.Usable(service, now)
 	}
-	return slices.DeleteFunc(targets, func(t radish.Target) bool { return shardOf(t.Name, c.Shards) != c.Shard })
+	return c.Fleet.UsableShard(service, c.Shard, c.Shards, now)
 }
 
-// shardOf returns the shard of a call or target by its name.
+// shardOf returns the shard of a call by its id.
 func shardOf(name string, shards int) int {
 	if shards <= 1 {
 		return 0
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -1,8 +1,10 @@
 package radishfleet
 
 import (
+	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -415,6 +417,24 @@
 	return usable
 }
 
+// UsableShard returns those of the service's targets in the shard that may take work, those out of use left out. All targets,
+// usable or not, are dealt out in the order of their data centres and names, so that shards are alike in each of them.
+func (f *Fleet) UsableShard(service string, shard, shards int, now time.Time) []radish.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := slices.Clone(f.byService[service])
+	slices.SortFunc(all, func(a, b *state) int {
+		return cmp.Or(strings.Compare(a.target.DataCentre, b.target.DataCentre), strings.Compare(a.target.Name, b.target.Name))
+	})
+	var usable []radish.Target
+	for i, s := range all {
+		if i%shards == shard && f.isUsable(s) && !f.isOut(s, now) {
+			usable = append(usable, s.target)
+		}
+	}
+	return usable
+}
+
 // Report counts how a call outside of Pick went.
 func (f *Fleet) Report(name string, o Outcome, now time.Time) {
 	f.mu.Lock()
