--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -272,49 +272,19 @@
 // dispatch starts calls at targets with room for one.
 func (c *Coordinator) dispatch(now time.Time) {
 	waiting := 0
-	crowded := c.crowded(now)
 	for service, q := range c.queues {
 		if q.Len() == 0 {
 			continue
 		}
 		if batch := c.Batch(service); batch != nil {
-			c.dispatchService(service, q, batch, crowded, now)
+			c.dispatchService(service, q, batch, now)
 		}
 		waiting += q.Len()
 	}
 	c.scheduleRecheck(waiting)
 }
 
-// crowded returns the data centres in which no more calls should begin.
-func (c *Coordinator) crowded(now time.Time) map[string]bool {
-	if len(c.jobs) == 0 {
-		return nil
-	}
-	targets, all := make(map[string]map[string]int), make(map[string]bool)
-	for service := range c.queues {
-		targets[service] = make(map[string]int)
-		for _, t := range c.usable(service, now) {
-			targets[service][t.DataCentre]++
-			all[t.DataCentre] = true
-		}
-	}
-	var places []radishbatch.Place
-	for service, q := range c.queues {
-		batch := c.Batch(service)
-		if batch == nil {
-			continue
-		}
-		bound := q.Bound()
-		for dataCentre := range all {
-			places = append(places, radishbatch.Place{
-				DataCentre: dataCentre, Bound: bound[dataCentre], Targets: targets[service][dataCentre], MaxPieces: batch.MaxPieces,
-			})
-		}
-	}
-	return radishbatch.Crowded(places)
-}
-
-func (c *Coordinator) dispatchService(service string, q *radishbatch.Queue, batch *radishroute.Batch, crowded map[string]bool, now time.Time) {
+func (c *Coordinator) dispatchService(service string, q *radishbatch.Queue, batch *radishroute.Batch, now time.Time) {
 	for _, item := range q.Expire(now, batch.CallTime) {
 		c.failItem(item, radish.PieceLate)
 	}
@@ -328,7 +298,6 @@
 		call := radishbatch.Call{
 			Target: t.Name, DataCentre: t.DataCentre, MaxPieces: batch.MaxPieces, RoomBytes: c.slotOf(t).room(batch, now),
 			CallTime: batch.CallTime, PieceTime: batch.PieceTime, IdleTargets: len(idle) - n, UsableTargets: len(usable), Places: places,
-			IsCrowded: crowded[t.DataCentre],
 		}
 		if items := q.Take(call, now); len(items) > 0 {
 			c.start(t, service, batch, items, now)
--- a/pkg/radishbatch/queue.go
+++ b/pkg/radishbatch/queue.go
@@ -90,19 +90,6 @@
 	UsableTargets int
 	// Places are the data centres that have usable targets.
 	Places map[string]bool
-	// IsCrowded tells whether calls should not begin in the target's data centre, since more waits there than elsewhere.
-	IsCrowded bool
-}
-
-// Bound returns how many heavy pieces wait for each data centre.
-func (q *Queue) Bound() map[string]int {
-	bound := make(map[string]int)
-	for _, i := range q.items {
-		if i.IsHeavy && i.Near != "" {
-			bound[i.Near]++
-		}
-	}
-	return bound
 }
 
 // Take removes and returns the pieces of the next call.
@@ -188,18 +175,12 @@
 }
 
 // belongsElsewhere tells whether a heavy piece should be made by a target of the data centre that it belongs to. A late
-// one waits for that as well, but not for long. One that belongs nowhere yet does not begin where it is crowded.
+// one waits for that as well, but not for long.
 func (c *Call) belongsElsewhere(i *Item, now, end time.Time) bool {
-	if !i.IsHeavy || i.Near == c.DataCentre {
+	if !i.IsHeavy || i.Near == "" || i.Near == c.DataCentre || !c.Places[i.Near] {
 		return false
 	}
 	spare := i.Due.Sub(end)
-	if i.Near == "" {
-		return c.IsCrowded && spare > moveSlack
-	}
-	if !c.Places[i.Near] {
-		return false
-	}
 	if spare < 0 {
 		return now.Sub(i.Since) < placeWait
 	}
