Learn how long results take up room

Change: the estimate takes the moving average of the time from a result's making to its end, by service.

--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -29,8 +29,6 @@
 	usualLoad = 0.5
 	// fullEfficiency is the part of the targets' highest rate that is counted on.
 	fullEfficiency = 0.85
-	// roomHold is about how long a result takes up room after its call, until the next stage has read it.
-	roomHold = 400 * time.Millisecond
 )
 
 // Coordinator runs the stages of calls at the targets of one shard in shared calls; set the exported fields before use.
@@ -45,11 +43,13 @@
 	Metrics *radishmetric.Metrics
 	Log     hclog.Logger
 
-	mu      sync.Mutex
-	jobs    map[*job]bool
-	owners  map[*radishbatch.Item]*job
-	queues  map[string]*radishbatch.Queue
-	slots   map[string]*slot
+	mu     sync.Mutex
+	jobs   map[*job]bool
+	owners map[*radishbatch.Item]*job
+	queues map[string]*radishbatch.Queue
+	slots  map[string]*slot
+	// holds is, by service, the moving average of the time for which results take up room.
+	holds   map[string]time.Duration
 	recheck *time.Timer
 }
 
@@ -103,6 +103,7 @@
 	c.owners = make(map[*radishbatch.Item]*job)
 	c.queues = make(map[string]*radishbatch.Queue)
 	c.slots = make(map[string]*slot)
+	c.holds = make(map[string]time.Duration)
 }
 
 // expect returns about how long the plan takes behind what was let in before, or why it is refused. A plan that cannot
@@ -162,7 +163,7 @@
 	full := batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
 	perTarget := float64(batch.MaxPieces) / full.Seconds()
 	if s.ResultBytes > 0 {
-		byRoom := float64(batch.RoomBytes) / float64(s.ResultBytes) / (full + roomHold).Seconds()
+		byRoom := float64(batch.RoomBytes) / float64(s.ResultBytes) / (full + c.hold(s.Service)).Seconds()
 		perTarget = min(perTarget, byRoom)
 	}
 	for _, t := range c.usable(s.Service, now) {
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -39,6 +39,9 @@
 	fullPause = 100 * time.Millisecond
 	// slownessWeight is the weight of the newest call in the average of a target's slowness.
 	slownessWeight = 0.5
+	// usualHold is about how long a result takes up room, until any was seen; holdWeight is the weight of the newest one.
+	usualHold  = 700 * time.Millisecond
+	holdWeight = 0.02
 	// slownessStep is the difference in slowness below which targets count as alike.
 	slownessStep = 0.5
 )
@@ -57,8 +60,9 @@
 
 // held is a result that takes up room at its maker.
 type held struct {
-	bytes int64
-	until time.Time
+	bytes  int64
+	madeAt time.Time
+	until  time.Time
 }
 
 func (c *Coordinator) slotOf(t radish.Target) *slot {
@@ -232,7 +236,7 @@
 func (c *Coordinator) finishPiece(call *finished, s *slot, item *radishbatch.Item, r radish.PieceResult, now time.Time) {
 	j := c.owners[item]
 	if r.Outcome == radish.PieceDone {
-		s.results[r.Handle] = held{bytes: item.Bytes, until: now.Add(call.batch.ResultLife)}
+		s.results[r.Handle] = held{bytes: item.Bytes, madeAt: now, until: now.Add(call.batch.ResultLife)}
 		if j == nil {
 			c.giveUp([]string{r.Handle})
 			return
@@ -343,10 +347,31 @@
 		c.Log.Info("results not given up", "address", address, "results", len(handles), "error", err.Error())
 		return
 	}
+	now := time.Now()
 	for _, handle := range handles {
+		if h, ok := s.results[handle]; ok {
+			c.countHold(s.target.Service, now.Sub(h.madeAt))
+		}
 		delete(s.results, handle)
 	}
-	c.dispatch(time.Now())
+	c.dispatch(now)
+}
+
+// countHold learns how long results of the service take up room.
+func (c *Coordinator) countHold(service string, took time.Duration) {
+	known, ok := c.holds[service]
+	if !ok {
+		known = usualHold
+	}
+	c.holds[service] = known + time.Duration(holdWeight*float64(took-known))
+}
+
+// hold is about how long a result of the service takes up room after its call.
+func (c *Coordinator) hold(service string) time.Duration {
+	if known, ok := c.holds[service]; ok {
+		return known
+	}
+	return usualHold
 }
 
 func errorText(err error) string {
