--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -28,7 +28,7 @@
 	// tightShare is the part of the room that is taken from which inputs are given up as soon as they were read.
 	tightShare = 0.5
 	// spareShare is the part of a target's room that a call must leave so that all of its results fit for sure.
-	spareShare = 0.2
+	spareShare = 0.05
 	// avoidTime is how long after a call a piece that it did not make goes to other targets first.
 	avoidTime = 500 * time.Millisecond
 	// readTime is how long after a call's begin its inputs have been read.
