Make lost inputs of a stage again instead of the whole plan

Cause: a plan failed when an input was gone: its maker had crashed or was cut off, or it had been given up before a piece that found no room was tried again. The call's VM then asked for the whole plan again, which was often refused.

Change: the coordinator makes again what is lost, at most twice, and keeps what the stage itself has made; the inputs of a call that found no room once are kept until they are read.

--- a/internal/radishrelay/relay_test.go
+++ b/internal/radishrelay/relay_test.go
@@ -96,7 +96,6 @@
 
 // fakeWriter keeps what the caller would see.
 type fakeWriter struct {
-	mu      sync.Mutex
 	status  int
 	body    strings.Builder
 	refusal *radish.Refusal
--- a/internal/radishstage/coordinator_test.go
+++ b/internal/radishstage/coordinator_test.go
@@ -381,3 +381,29 @@
 		}
 	})
 }
+
+// TestLostResultsAreMadeAgain loses the first stage's result, as when its maker has crashed, while the second stage's
+// pieces wait: only what is lost is made again.
+func TestLostResultsAreMadeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, fake := newCoordinator(1)
+		time.AfterFunc(300*time.Millisecond, func() {
+			for handle := range fake.inputs() {
+				_ = fake.FreePieces(context.Background(), "", []string{handle})
+			}
+		})
+		result, err := c.Run(t.Context(), newPlan("call", 5*time.Second))
+		if err != nil || len(result.Handles[1]) != 3 {
+			t.Fatalf("got %+v, %v", result, err)
+		}
+		first := make(map[string]bool)
+		for _, handle := range result.Handles[1] {
+			for _, input := range fake.inputs()[handle] {
+				first[input] = true
+			}
+		}
+		if len(first) != 1 {
+			t.Errorf("the results were made of %v", first)
+		}
+	})
+}
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -19,9 +19,12 @@
 	// began and expected are when the plan was let in and how long it was expected to take then.
 	began    time.Time
 	expected time.Duration
-	err      error
-	ended    bool
-	done     chan struct{}
+	remakes  int
+	// keepsInputs is set once a piece found no room: its inputs are kept until it is made.
+	keepsInputs bool
+	err         error
+	ended       bool
+	done        chan struct{}
 }
 
 // stageState is how far one stage of a job is.
@@ -106,17 +109,21 @@
 			expires = e
 		}
 	}
-	items := make([]*radishbatch.Item, stage.Pieces)
-	for n := range items {
+	var items []*radishbatch.Item
+	for n := range stage.Pieces {
+		if j.stages[i].handles[n] != "" {
+			continue
+		}
 		piece := radish.Piece{CallID: j.plan.CallID, Stage: i, Number: n, Inputs: inputs}
 		if len(stage.After) == 0 {
 			piece.Key = j.plan.Key
 		}
-		items[n] = &radishbatch.Item{
+		item := &radishbatch.Item{
 			Piece: piece, Due: j.dueOf[i], Deadline: j.plan.Deadline, Expires: expires, Bytes: stage.ResultBytes, Near: j.place, IsHeavy: j.isHeavy(i),
 			Worth: j.plan.Worth, Since: now,
 		}
-		j.items[items[n]] = true
+		items = append(items, item)
+		j.items[item] = true
 	}
 	return items
 }
@@ -206,6 +213,46 @@
 	return false
 }
 
+// maxRemakes is how often a plan's stages are made again for lost results.
+const maxRemakes = 2
+
+// remake prepares a stage whose inputs are lost, and those before it, to be made again; pieces of the stage that were made
+// stay. It returns the pieces that are of no more use and the handles that are left of what is made again; ok is false
+// when it has been tried too often.
+func (j *job) remake(i int) (dropped []*radishbatch.Item, free []string, ok bool) {
+	if j.remakes >= maxRemakes {
+		return nil, nil, false
+	}
+	j.remakes++
+	again := make(map[int]bool)
+	j.collectBefore(i, again)
+	for before := range again {
+		if !j.stages[before].freed {
+			free = append(free, made(j.stages[before].handles)...)
+		}
+		pieces := j.plan.Stages[before].Pieces
+		j.stages[before] = stageState{left: pieces, handles: make([]string, pieces), running: make(map[int]bool)}
+	}
+	j.stages[i].queued = false
+	clear(j.stages[i].running)
+	again[i] = true
+	for item := range j.items {
+		if again[item.Piece.Stage] {
+			dropped = append(dropped, item)
+			delete(j.items, item)
+		}
+	}
+	return dropped, free, true
+}
+
+// collectBefore adds all stages that the stage needs, directly or not.
+func (j *job) collectBefore(i int, into map[int]bool) {
+	for _, before := range j.plan.Stages[i].After {
+		into[before] = true
+		j.collectBefore(before, into)
+	}
+}
+
 // isDone tells whether all pieces are made.
 func (j *job) isDone() bool {
 	for i := range j.stages {
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -208,6 +208,26 @@
 	c.dispatch(now)
 }
 
+// remake has the inputs of a piece made again that were lost with their maker or given up too early.
+func (c *Coordinator) remake(j *job, item *radishbatch.Item) {
+	if j == nil || !j.items[item] {
+		return
+	}
+	stage := item.Piece.Stage
+	dropped, free, ok := j.remake(stage)
+	if !ok {
+		c.failItem(item, radish.PieceGone)
+		return
+	}
+	c.Log.Info("inputs are made again", "id", j.plan.CallID, "stage", stage, "pieces", len(dropped))
+	for _, d := range dropped {
+		delete(c.owners, d)
+		c.queueOf(j.plan.Stages[d.Piece.Stage].Service).Remove(func(other *radishbatch.Item) bool { return other == d })
+	}
+	c.giveUp(free)
+	c.advance(j)
+}
+
 // isFull tells whether the target had no room for most of a call's results.
 func isFull(results []radish.PieceResult) bool {
 	n := 0
@@ -253,9 +273,14 @@
 	case radish.PieceNoRoom:
 		item.Tries--
 		item.Avoid = ""
+		if j != nil {
+			j.keepsInputs = true
+		}
 		c.requeue(call.service, []*radishbatch.Item{item})
 	case radish.PieceFailed:
 		c.requeue(call.service, []*radishbatch.Item{item})
+	case radish.PieceGone:
+		c.remake(j, item)
 	default:
 		c.failItem(item, r.Outcome)
 	}
@@ -290,7 +315,7 @@
 }
 
 func (c *Coordinator) freeRead(j *job) {
-	if j.ended {
+	if j.ended || j.keepsInputs {
 		return
 	}
 	for i := range j.stages {
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -56,8 +56,6 @@
 	row          int
 	ejectedFor   time.Duration
 	ejectedUntil time.Time
-	// latency is the moving average of the time to the beginning of an answer.
-	latency time.Duration
 }
 
 // Set takes in a target's record and tells whether it changed what the VM does: a new target or start of one, or one
