--- a/internal/radishmetric/metric.go
+++ b/internal/radishmetric/metric.go
@@ -171,3 +171,11 @@
 		}))
 	return trace.Wrap(err)
 }
+
+// Bool returns 1 for true and 0 for false, as gauges show them.
+func Bool(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/radishserve/server.go
+++ b/internal/radishserve/server.go
@@ -16,6 +16,7 @@
 
 	"radishramp.example/radishramp/internal/radishburn"
 	"radishramp.example/radishramp/internal/radishentry"
+	"radishramp.example/radishramp/internal/radishgroup"
 	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/internal/radishpipeline"
 	"radishramp.example/radishramp/internal/radishsetting"
@@ -106,8 +107,8 @@
 	operator := &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: headerTimeout}
 	var group run.Group
 	s.addLoops(background, &group)
-	addHTTP(&group, operator, listeners.operator)
-	addHTTP(&group, caller, listeners.caller)
+	radishgroup.AddHTTP(&group, operator, listeners.operator)
+	radishgroup.AddHTTP(&group, caller, listeners.caller)
 	group.Add(func() error { return s.waitAndLeave(ctx, background, caller) }, func(error) { stop() })
 	s.Log.Info("serving", "caller", listeners.caller.Addr().String(), "operator", listeners.operator.Addr().String(), "peer", listeners.peer.Addr().String())
 	err = group.Run()
@@ -165,27 +166,10 @@
 	}
 	loops := []loop{s.placer, s.roster, s.node, s.lease, watcher, sweeper, s.heartbeats, s.poller, &coldReporter{server: s, steward: s.steward}}
 	for _, l := range loops {
-		ctx, cancel := context.WithCancel(background)
-		group.Add(func() error { return l.Run(ctx) }, func(error) { cancel() })
+		radishgroup.AddLoop(background, group, l.Run)
 	}
 }
 
-func addHTTP(group *run.Group, server *http.Server, l net.Listener) {
-	stopped := make(chan struct{})
-	group.Add(func() error {
-		err := server.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			// The part that shuts the server down ends the group once all requests are answered.
-			<-stopped
-			return nil
-		}
-		return err
-	}, func(error) {
-		_ = server.Close()
-		close(stopped)
-	})
-}
-
 // waitAndLeave takes the VM out of service once ctx ends: no longer ready, then no new requests after the balancer
 // has had time to notice, then the end once the accepted ones are answered.
 func (s *Server) waitAndLeave(ctx, background context.Context, caller *http.Server) error {
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,16 +15,15 @@
 	"github.com/oklog/run"
 
 	"radishramp.example/radishramp/internal/radishdial"
+	"radishramp.example/radishramp/internal/radishgroup"
 	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/internal/radishrelay"
 	"radishramp.example/radishramp/internal/radishstage"
-	"radishramp.example/radishramp/internal/radishsync"
 	"radishramp.example/radishramp/internal/radishtarget"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishmirror"
 	"radishramp.example/radishramp/pkg/radishpeer"
-	"radishramp.example/radishramp/pkg/radishroute"
 )
 
 const (
@@ -38,30 +35,12 @@
 	// calls that have not run are refused.
 	stopReserve   = 300 * time.Millisecond
 	refuseReserve = 1200 * time.Millisecond
-	// saveRetry is the pause before the VM's own record is written again after a failure.
-	saveRetry = 500 * time.Millisecond
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long a caller's connection may stay idle; callers reuse theirs for less.
 	idleTimeout = 2 * time.Minute
 )
 
-// pauses collect changes of a kind into one call to the store. Configurations and targets must be in force within two
-// seconds, also when no checker can be reached.
-var pauses = map[radish.RecordKind]time.Duration{
-	radish.RecordConfig: 500 * time.Millisecond, radish.RecordTarget: 1200 * time.Millisecond,
-	radish.RecordEvacuation: time.Second, radish.RecordVM: 2 * time.Second,
-}
-
-// checkerPause is the pause of the VMs from which the others learn of changes first.
-const checkerPause = 150 * time.Millisecond
-
-// checkIntervals are how often a checker reads a kind again.
-var checkIntervals = map[radish.RecordKind]time.Duration{
-	radish.RecordConfig: time.Second, radish.RecordTarget: time.Second,
-	radish.RecordEvacuation: 2 * time.Second, radish.RecordVM: 5 * time.Second,
-}
-
 // FrontEnd makes the handler of callers' requests.
 type FrontEnd func(handler radish.CallHandler, maxBody func() int64, isLeaving func() bool) http.Handler
 
@@ -137,8 +116,8 @@
 		{"radishramp_peers_linked", "Peers with an open link.", func() float64 { return float64(len(s.peers.node.Linked())) }},
 		{"radishramp_peer_bytes_sent", "Bytes sent over the peer links.", func() float64 { sent, _ := s.peers.node.Traffic(); return float64(sent) }},
 		{"radishramp_peer_bytes_received", "Bytes received over the peer links.", func() float64 { _, received := s.peers.node.Traffic(); return float64(received) }},
-		{"radishramp_store_away", "1 while the store does not answer.", func() float64 { return boolGauge(s.beliefs.isStoreAway()) }},
-		{"radishramp_is_ready", "1 while the VM says that it is ready.", func() float64 { return boolGauge(s.isReady()) }},
+		{"radishramp_store_away", "1 while the store does not answer.", func() float64 { return radishmetric.Bool(s.beliefs.isStoreAway()) }},
+		{"radishramp_is_ready", "1 while the VM says that it is ready.", func() float64 { return radishmetric.Bool(s.isReady()) }},
 	}
 	for _, g := range gauges {
 		if err := s.metrics.Gauge(g.name, g.description, g.read); err != nil {
@@ -148,13 +127,6 @@
 	return nil
 }
 
-func boolGauge(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 func (s *Server) configVersion() int64 {
 	if cfg := s.beliefs.config.Load(); cfg != nil {
 		return cfg.Version
@@ -162,83 +134,6 @@
 	return 0
 }
 
-// coordinator returns the VM's own coordinator of the shard.
-func (s *Server) coordinator(shard, shards int) *radishstage.Coordinator {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	key := [2]int{shard, shards}
-	c := s.coordinators[key]
-	if c == nil {
-		c = &radishstage.Coordinator{
-			Fleet: s.fleet, Client: s.Stages, Batch: s.batchOf, Shard: shard, Shards: shards, Metrics: s.metrics, Log: s.Log.Named("stage").With("shard", shard),
-		}
-		s.coordinators[key] = c
-	}
-	return c
-}
-
-func (s *Server) batchOf(service string) *radishroute.Batch {
-	cfg := s.beliefs.config.Load()
-	if cfg == nil || cfg.Services[service] == nil {
-		return nil
-	}
-	return cfg.Services[service].Batch
-}
-
-// targetsPerShard is how many targets of each stage service one coordinator has at least.
-const targetsPerShard = 5
-
-// shards returns how many shards the stage targets are divided into.
-func (s *Server) shards() int {
-	cfg := s.beliefs.config.Load()
-	if cfg == nil {
-		return 1
-	}
-	var services []string
-	for name, service := range cfg.Services {
-		if service.Batch != nil {
-			services = append(services, name)
-		}
-	}
-	return max(1, s.fleet.LeastCount(services)/targetsPerShard)
-}
-
-func (s *Server) wakeCoordinators() {
-	s.mu.Lock()
-	coordinators := make([]*radishstage.Coordinator, 0, len(s.coordinators))
-	for _, c := range s.coordinators {
-		coordinators = append(coordinators, c)
-	}
-	s.mu.Unlock()
-	for _, c := range coordinators {
-		c.Wake()
-	}
-}
-
-// retryBurst is the VM's part of the repeats that all VMs may save up.
-func (s *Server) retryBurst() float64 { return s.site.Load().RetrySlack / float64(s.peers.count()) }
-
-// coldMargin keeps the VMs' parts below the bound of all, for the time that a call is on its way.
-const coldMargin = 0.8
-
-// coldQuota is the VM's part of what the cold target bears in a second.
-func (s *Server) coldQuota(t radish.Target) int {
-	cfg := s.beliefs.config.Load()
-	if cfg == nil || cfg.Services[t.Service] == nil {
-		return 0
-	}
-	site := s.site.Load()
-	all := int(coldMargin * (cfg.Services[t.Service].ColdPerSec*site.ColdFactor + site.ColdSlack))
-	names := s.peers.names()
-	quota := all / len(names)
-	for _, name := range radish.RendezvousOwners(names, "cold/"+t.Name, all%len(names)) {
-		if name == s.Site.VM {
-			quota++
-		}
-	}
-	return quota
-}
-
 // Run serves until ctx ends, then leaves without cutting a request.
 func (s *Server) Run(ctx context.Context) error {
 	if err := s.build(); err != nil {
@@ -320,70 +215,11 @@
 		if err != nil {
 			return trace.ConvertSystemError(err)
 		}
-		addHTTP(group, p.server, l)
+		radishgroup.AddHTTP(group, p.server, l)
 	}
 	return nil
 }
 
-// addHTTP serves until the group ends; a server that was shut down leaves the group to who did that.
-func addHTTP(group *run.Group, server *http.Server, l net.Listener) {
-	stopped := make(chan struct{})
-	group.Add(func() error {
-		err := server.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			<-stopped
-			return nil
-		}
-		return err
-	}, func(error) {
-		_ = server.Close()
-		close(stopped)
-	})
-}
-
-func (s *Server) addLoops(background context.Context, group *run.Group) {
-	add := func(run func(context.Context) error) {
-		ctx, cancel := context.WithCancel(background)
-		group.Add(func() error { return run(ctx) }, func(error) { cancel() })
-	}
-	for _, kind := range radish.RecordKinds {
-		f := &radishsync.Follower{
-			Kind: kind, Store: s.Store, Mirror: &s.mirror, OnReach: s.beliefs.reach, Log: s.Log.Named("store"),
-			Pause: pauses[kind], CheckerPause: checkerPause, CheckInterval: checkIntervals[kind], IsChecker: func() bool { return s.peers.isChecker(kind) },
-			IsFollower: func() bool { return s.peers.isFollower(kind) },
-			OnNews:     func(news []radish.Record) { s.peers.takeNews(news, "store") },
-		}
-		add(f.Run)
-	}
-	add(s.peers.node.Run)
-	add(s.peers.Run)
-	add(s.saveSelf)
-	add(s.followSettings)
-	s.peers.update()
-}
-
-// saveSelf writes the VM's own record, by which the others find it.
-func (s *Server) saveSelf(ctx context.Context) error {
-	value, err := json.Marshal(s.peers.self)
-	if err != nil {
-		return err
-	}
-	for {
-		err := s.Store.Save(ctx, radish.RecordVM, s.Site.VM, value)
-		if err == nil {
-			break
-		}
-		s.Log.Warn("own record not written", "error", err.Error())
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(saveRetry/2 + rand.N(saveRetry)):
-		}
-	}
-	<-ctx.Done()
-	return ctx.Err()
-}
-
 // waitAndLeave takes the VM out of service once ctx ends: not ready, then no new connections once the balancer has
 // noticed, then the end when the accepted requests are answered.
 func (s *Server) waitAndLeave(ctx, background context.Context, caller *http.Server) error {
--- a/tools/promises.sh
+++ b/tools/promises.sh
@@ -30,4 +30,18 @@
 promise "a leaving target gets no new work" "$serve" '^TestDrainByEachRoute$'
 promise "a graceful shutdown cuts no request" "$serve ./e2e" '^(TestGracefulStopCutsNothing|TestLeavingRecordsTheLastOutcome|TestTerminatedEntryCutsNothing)$'
 promise "an accepted configuration is in force everywhere and never reverts" "$serve ./pkg/radishconfig" '^(TestConfigurationIsInForceWithinSeconds|TestNewVMLearnsFromPeers|TestConfigurationUnderFaults)$'
+adapter=./platform/radishadapter
+site=./internal/radishsite
+promise "platform: a send is one send, and a refusal that says not run is true" "$adapter ./internal/radishrelay" '^(TestEachSendIsOne|TestRepeats|TestSendNotSentWhenNothingListens)$'
+promise "platform: an answer is whole and the call's own" "$adapter ./internal/radishrelay" '^(TestSendTellsAnswersApart|TestAbortedAnswerIsNotWhole|TestCutStreamDoesNotLookWhole|TestStreamGoesOnElsewhere)$'
+promise "platform: repeats stay in the budget" "./internal/radishrelay" '^TestRepeatsStayInTheBudget$'
+promise "platform: changes are in force in time and never go back" "$site ./internal/radishsync ./pkg/radishmirror" '^(TestNewsReachVMsThatTheStoreTurnsAway|TestConfigurationNeverGoesBack|TestCheckerHearsWhatASilentWatchMisses|TestLostHistoryIsListedAgain|TestOlderRecordsAreNoNews)$'
+promise "platform: leaving and evacuated targets get nothing" "./pkg/radishfleet $site ./e2e" '^(TestLeavingAndEvacuatedTargetsGetNothing|TestTargetsFollowTheirRecords|TestEvacuationIsTakenBack|TestSiteFollowsChanges)$'
+promise "platform: records that lapsed in an outage are kept for two seconds" "$site" '^TestRecordsThatLapsedInAnOutage$'
+promise "platform: cold targets get no more than they bear" "./pkg/radishfleet" '^TestReplayColdReturn$'
+promise "platform: a call that leaves takes its work along" "./internal/radishrelay ./internal/radishstage" '^(TestCallerThatLeavesIsNotSentElsewhere|TestCallerThatLeavesTakesItsPiecesAlong)$'
+promise "platform: what cannot be served is refused at once" "./internal/radishstage ./internal/radishrelay" '^(TestOverloadIsRefusedAtOnce|TestFullStagesAreToldWithATime|TestTimeoutOfTheRoute)$'
+promise "platform: stopping cuts no call" "./e2e ./internal/radishrelay" '^(TestSiteStopsWithoutCuttingCalls|TestEndingVMRefusesWhatIsInStages)$'
+promise "platform: an outage of the store is outlived" "./e2e ./internal/radishsync $site" '^(TestSiteWithoutItsStore|TestOutageIsOutlived|TestVMThatStartsInAnOutageLearnsFromASeed)$'
+promise "platform: bad input is refused and loses nothing" "$adapter ./e2e" '^(TestFrontRefusesBadInput|TestRecordsOfOthersNameNoTarget|TestParseSiteReportsAllFaults|TestSiteReloadsItsSettings)$'
 exit "$failed"
