--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -125,6 +125,12 @@
 	return names
 }
 
+// hasOthers tells whether another VM can be given work.
+func (p *peers) hasOthers() bool {
+	names := p.reachable()
+	return len(names) > 0 && names[0] != p.self.Name
+}
+
 // ownersKept is how many VMs are named as owners of a key, so that one is left when a data centre is cut off.
 const ownersKept = 10
 
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -234,6 +234,11 @@
 	refuse := time.AfterFunc(s.Site.ShutdownGrace-refuseReserve, s.relay.Stop)
 	defer refuse.Stop()
 	s.peers.tellLeaving(background)
+	if s.peers.hasOthers() {
+		for _, c := range s.allCoordinators() {
+			c.Leave()
+		}
+	}
 	time.Sleep(acceptAfterStop - time.Since(began))
 	grace, cancel := context.WithDeadline(background, began.Add(s.Site.ShutdownGrace-stopReserve))
 	defer cancel()
--- a/internal/radishsite/share.go
+++ b/internal/radishsite/share.go
@@ -48,15 +48,19 @@
 }
 
 func (s *Server) wakeCoordinators() {
+	for _, c := range s.allCoordinators() {
+		c.Wake()
+	}
+}
+
+func (s *Server) allCoordinators() []*radishstage.Coordinator {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	coordinators := make([]*radishstage.Coordinator, 0, len(s.coordinators))
 	for _, c := range s.coordinators {
 		coordinators = append(coordinators, c)
 	}
-	s.mu.Unlock()
-	for _, c := range coordinators {
-		c.Wake()
-	}
+	return coordinators
 }
 
 // retryBurst is the VM's part of the repeats that all VMs may save up.
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -43,11 +43,12 @@
 	Metrics *radishmetric.Metrics
 	Log     hclog.Logger
 
-	mu     sync.Mutex
-	jobs   map[*job]bool
-	owners map[*radishbatch.Item]*job
-	queues map[string]*radishbatch.Queue
-	slots  map[string]*slot
+	mu      sync.Mutex
+	leaving bool
+	jobs    map[*job]bool
+	owners  map[*radishbatch.Item]*job
+	queues  map[string]*radishbatch.Queue
+	slots   map[string]*slot
 	// holds is, by service, the moving average of the time for which results take up room.
 	holds   map[string]time.Duration
 	recheck *time.Timer
@@ -82,6 +83,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.init()
+	if c.leaving {
+		return nil, ErrMoved
+	}
 	now := time.Now()
 	expected, err := c.expect(p, now)
 	if err != nil {
@@ -257,11 +261,27 @@
 		return "made"
 	case errors.Is(err, ErrFailed):
 		return "failed"
+	case errors.Is(err, ErrMoved):
+		return "moved"
 	default:
 		return "left"
 	}
 }
 
+// Leave hands the plans over of which nothing has begun, and takes no more: two coordinators of a shard would be in each
+// other's way.
+func (c *Coordinator) Leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.init()
+	c.leaving = true
+	for j := range c.jobs {
+		if !j.hasBegun() {
+			c.end(j, ErrMoved)
+		}
+	}
+}
+
 // Wake looks at the waiting pieces again, as when targets have changed.
 func (c *Coordinator) Wake() {
 	c.mu.Lock()
--- a/internal/radishstage/coordinator_test.go
+++ b/internal/radishstage/coordinator_test.go
@@ -407,3 +407,32 @@
 		}
 	})
 }
+
+// TestLeavingCoordinatorHandsOver lets a coordinator leave with one call begun and others waiting: the first is finished,
+// the others and later ones go elsewhere at once.
+func TestLeavingCoordinatorHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newCoordinator(1)
+		begun, waiting := make(chan error, 1), make(chan error, 1)
+		go func() {
+			_, err := c.Run(t.Context(), newPlan("begun", 5*time.Second))
+			begun <- err
+		}()
+		synctest.Wait()
+		go func() {
+			_, err := c.Run(t.Context(), newPlan("waiting", 5*time.Second))
+			waiting <- err
+		}()
+		synctest.Wait()
+		c.Leave()
+		if err := <-waiting; !errors.Is(err, ErrMoved) {
+			t.Errorf("the waiting plan: %v", err)
+		}
+		if _, err := c.Run(t.Context(), newPlan("later", 5*time.Second)); !errors.Is(err, ErrMoved) {
+			t.Errorf("a later plan: %v", err)
+		}
+		if err := <-begun; err != nil {
+			t.Errorf("the plan that had begun: %v", err)
+		}
+	})
+}
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -253,6 +253,21 @@
 	}
 }
 
+// hasBegun tells whether any piece of the plan was part of a call.
+func (j *job) hasBegun() bool {
+	for i := range j.stages {
+		if len(j.stages[i].running) > 0 || j.stages[i].left < j.plan.Stages[i].Pieces {
+			return true
+		}
+	}
+	for item := range j.items {
+		if item.Tries > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // isDone tells whether all pieces are made.
 func (j *job) isDone() bool {
 	for i := range j.stages {
--- a/internal/radishstage/plan.go
+++ b/internal/radishstage/plan.go
@@ -39,6 +39,9 @@
 // ErrFailed reports that a piece could not be made.
 var ErrFailed = errors.New("piece of a stage was not made")
 
+// ErrMoved reports that the VM coordinates no more plans, since it leaves; nothing of the plan was made.
+var ErrMoved = errors.New("another VM coordinates the stages")
+
 // RefusedError reports that the stages have no room for the call; nothing of it was made.
 type RefusedError struct {
 	// RetryAfter is about when there is room again.
--- a/internal/radishstage/router.go
+++ b/internal/radishstage/router.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxOwners is how many VMs are asked in turn to coordinate a plan before the own VM does.
-	maxOwners = 3
+	// maxOwners is how many VMs are asked in turn to coordinate a plan; the own VM is the last one.
+	maxOwners = 4
 	// suspectTime is how long a VM that did not answer is left alone.
 	suspectTime = 2 * time.Second
 )
@@ -50,17 +50,22 @@
 	shard := shardOf(p.CallID, shards)
 	for range maxOwners {
 		owner := r.owner(shard, shards)
-		if owner == r.Self {
-			break
-		}
-		result, err := r.ask(ctx, owner, shard, shards, p)
-		if !errors.Is(err, radish.ErrUnavailable) || ctx.Err() != nil {
+		result, err := r.runAt(ctx, owner, shard, shards, p)
+		isElsewhere := errors.Is(err, radish.ErrUnavailable) || errors.Is(err, ErrMoved)
+		if !isElsewhere || ctx.Err() != nil {
 			return result, err
 		}
 		r.Log.Warn("coordinator did not answer", "peer", owner, "shard", shard, "id", p.CallID, "error", err.Error())
 		r.suspect(owner)
 	}
-	return r.Local(shard, shards).Run(ctx, p)
+	return nil, &RefusedError{RetryAfter: retryFloor, Reason: "no VM coordinates the stages"}
+}
+
+func (r *Router) runAt(ctx context.Context, owner string, shard, shards int, p *Plan) (*Result, error) {
+	if owner == r.Self {
+		return r.Local(shard, shards).Run(ctx, p)
+	}
+	return r.ask(ctx, owner, shard, shards, p)
 }
 
 // owner returns the VM that coordinates the shard now: the first choice that has not failed to answer of late.
@@ -95,6 +100,8 @@
 	}
 	reply := res.GetPlan()
 	switch {
+	case reply.GetMoved():
+		return nil, ErrMoved
 	case reply.GetRetryAfterMs() > 0:
 		return nil, &RefusedError{RetryAfter: time.Duration(reply.GetRetryAfterMs()) * time.Millisecond, Reason: reply.GetRefusal()}
 	case reply.GetRefusal() != "":
@@ -131,6 +138,8 @@
 	switch {
 	case errors.As(err, &refused):
 		return &radishpeerpb.PlanReply{Refusal: refused.Reason, RetryAfterMs: uint32(max(1, refused.RetryAfter.Milliseconds()))}
+	case errors.Is(err, ErrMoved):
+		return &radishpeerpb.PlanReply{Moved: true, Refusal: err.Error()}
 	case err != nil:
 		return &radishpeerpb.PlanReply{Refusal: err.Error()}
 	}
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -26,7 +26,7 @@
 	// roomShare is the part of a target's room that is planned for, since the sizes of results vary.
 	roomShare = 0.92
 	// tightShare is the part of the room that is taken from which inputs are given up as soon as they were read.
-	tightShare = 0.5
+	tightShare = 0.25
 	// spareShare is the part of a target's room that a call must leave so that all of its results fit for sure.
 	spareShare = 0.05
 	// avoidTime is how long after a call a piece that it did not make goes to other targets first.
@@ -214,6 +214,11 @@
 		return
 	}
 	stage := item.Piece.Stage
+	// A call that would be late anyhow goes back to its VM, and is let in again only if there is room for it.
+	if time.Now().Add(c.timeUpTo(j, stage)).After(j.plan.Due) {
+		c.failItem(item, radish.PieceGone)
+		return
+	}
 	dropped, free, ok := j.remake(stage)
 	if !ok {
 		c.failItem(item, radish.PieceGone)
@@ -228,6 +233,15 @@
 	c.advance(j)
 }
 
+// timeUpTo is about how long it takes to make the stage and all that it needs.
+func (c *Coordinator) timeUpTo(j *job, stage int) time.Duration {
+	longest := time.Duration(0)
+	for _, before := range j.plan.Stages[stage].After {
+		longest = max(longest, c.timeUpTo(j, before))
+	}
+	return longest + c.usualTime(j.plan.Stages[stage].Service)
+}
+
 // isFull tells whether the target had no room for most of a call's results.
 func isFull(results []radish.PieceResult) bool {
 	n := 0
