Tell starts of a VM apart without the time of day

Cause: a VM that left and started again after its time of day had jumped back was held for leaving by its peers: incarnations were compared by their order.

Change: incarnations are random and only compared for being equal.

Before and after: TestVMThatStartsAgainIsGivenWork was red (only [vm-0] are given work) and is green.

--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -115,7 +115,7 @@
 	var names []string
 	for _, name := range linked {
 		vm, ok := p.known[name]
-		if ok && p.leaving[name] < vm.Incarnation {
+		if ok && p.leaving[name] != vm.Incarnation {
 			names = append(names, name)
 		}
 	}
@@ -317,7 +317,7 @@
 	if p.leaving == nil {
 		p.leaving = make(map[string]int64)
 	}
-	if p.leaving[h.GetVm()] < h.GetIncarnation() {
+	if p.leaving[h.GetVm()] != h.GetIncarnation() {
 		p.leaving[h.GetVm()] = h.GetIncarnation()
 		p.log.Info("peer leaves", "peer", h.GetVm())
 	}
--- a/internal/radishsite/peer_test.go
+++ b/internal/radishsite/peer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -177,6 +178,27 @@
 	})
 }
 
+// TestVMThatStartsAgainIsGivenWork has a VM leave and start again with a smaller incarnation, as after a jump of the
+// time of day.
+func TestVMThatStartsAgainIsGivenWork(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		vms := startPeers(t, 2)
+		vms[1].self.Incarnation = 9
+		vms[1].isClosed = func() bool { return true }
+		vms[1].tellLeaving(t.Context())
+		again := vms[1].self
+		again.Incarnation = 4
+		value, err := json.Marshal(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		vms[0].takeNews(vms[0].mirror.Apply([]radish.Record{{Kind: radish.RecordVM, Name: again.Name, Revision: 50, Value: value}}), "store")
+		if names := vms[0].reachable(); !slices.Contains(names, again.Name) {
+			t.Errorf("only %v are given work", names)
+		}
+	})
+}
+
 func TestVMThatTheStoreTurnsAwayIsNoChecker(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		vms := startPeers(t, 5)
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -84,7 +86,7 @@
 	s.fleet = &radishfleet.Fleet{DataCentre: s.Site.DataCentre, ColdQuota: s.coldQuota}
 	s.beliefs = &beliefs{decoder: s.Decoder, mirror: &s.mirror, fleet: s.fleet, log: s.Log.Named("belief"), onChange: s.wakeCoordinators}
 	self := radish.VMRecord{
-		Name: s.Site.VM, Address: s.Site.PeerAddress, DataCentre: s.Site.DataCentre, Incarnation: time.Now().UnixMilli(),
+		Name: s.Site.VM, Address: s.Site.PeerAddress, DataCentre: s.Site.DataCentre, Incarnation: 1 + rand.Int64N(math.MaxInt64),
 	}
 	s.peers = &peers{
 		self: self, mirror: &s.mirror, beliefs: s.beliefs, seeds: func() []string { return s.site.Load().Seeds }, isClosed: s.leaving.Load, log: s.Log.Named("peer"),
--- a/pkg/radish/record.go
+++ b/pkg/radish/record.go
@@ -51,6 +51,6 @@
 	Name       string `json:"name"`
 	Address    string `json:"peer_address"`
 	DataCentre string `json:"data_centre"`
-	// Incarnation grows with each start of the VM.
+	// Incarnation tells two starts of the VM apart; it is random, since the time of day may jump.
 	Incarnation int64 `json:"incarnation"`
 }
