--- a/internal/radishsite/peer_test.go
+++ b/internal/radishsite/peer_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishpeer"
+	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
 )
 
 // pipes is a network of in-memory connections between VMs.
@@ -71,25 +73,31 @@
 
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// testVM is one VM with the switch that makes it leave.
+type testVM struct {
+	*peers
+	closed *atomic.Bool
+}
+
 // newPeers makes one VM that knows nothing yet.
-func newPeers(network *pipes, name string, seeds func() []string) *peers {
-	b := newBeliefs()
+func newPeers(network *pipes, name string, seeds func() []string) *testVM {
+	b, closed := newBeliefs(), &atomic.Bool{}
 	p := &peers{
 		self: radish.VMRecord{Name: name, Address: name + ":1", DataCentre: "a", Incarnation: 1}, mirror: b.mirror, beliefs: b, seeds: seeds,
-		log: hclog.NewNullLogger(), news: make(chan struct{}, 1), isClosed: func() bool { return false },
+		log: hclog.NewNullLogger(), news: make(chan struct{}, 1), isClosed: closed.Load,
 	}
 	p.node = &radishpeer.Node{Name: name, Listener: network.listen(p.self.Address), Handler: p, Dial: network.dial, Log: hclog.NewNullLogger()}
-	return p
+	return &testVM{peers: p, closed: closed}
 }
 
 // startPeers runs n VMs that know each other from the store's records.
-func startPeers(t *testing.T, n int) []*peers {
+func startPeers(t *testing.T, n int) []*testVM {
 	return startPeersOn(t, &pipes{listeners: make(map[string]chan net.Conn)}, n)
 }
 
-func startPeersOn(t *testing.T, network *pipes, n int) []*peers {
+func startPeersOn(t *testing.T, network *pipes, n int) []*testVM {
 	var records []radish.Record
-	var vms []*peers
+	var vms []*testVM
 	for i := range n {
 		p := newPeers(network, fmt.Sprint("vm-", i), func() []string { return nil })
 		value, err := json.Marshal(p.self)
@@ -166,7 +174,7 @@
 		first := vms[0].owners(0, 1)[0]
 		for _, p := range vms {
 			if p.self.Name == first {
-				p.isClosed = func() bool { return true }
+				p.closed.Store(true)
 				p.tellLeaving(t.Context())
 			}
 		}
@@ -183,10 +191,8 @@
 func TestVMThatStartsAgainIsGivenWork(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		vms := startPeers(t, 2)
-		vms[1].self.Incarnation = 9
-		vms[1].isClosed = func() bool { return true }
-		vms[1].tellLeaving(t.Context())
 		again := vms[1].self
+		vms[0].hear(&radishpeerpb.SiteHeartbeat{Vm: again.Name, Leaving: true, Incarnation: 9})
 		again.Incarnation = 4
 		value, err := json.Marshal(again)
 		if err != nil {
@@ -202,7 +208,7 @@
 func TestVMThatTheStoreTurnsAwayIsNoChecker(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		vms := startPeers(t, 5)
-		var away *peers
+		var away *testVM
 		for _, p := range vms {
 			if p.isChecker(radish.RecordTarget) {
 				away = p
