Let a VM that is cut off coordinate its own calls

Change: after three others the own VM runs the plan.

Before and after: TestVMThatIsCutOffCoordinatesItself was red (no VM coordinates the stages) and is green.

--- a/internal/radishstage/coordinator_test.go
+++ b/internal/radishstage/coordinator_test.go
@@ -436,3 +436,23 @@
 		}
 	})
 }
+
+// TestVMThatIsCutOffCoordinatesItself names ten coordinators, none of which can be reached: the call's own VM runs the
+// plan after a few of them.
+func TestVMThatIsCutOffCoordinatesItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newCoordinator(2)
+		var owners []string
+		for n := range 10 {
+			owners = append(owners, fmt.Sprint("vm-", n))
+		}
+		r := &Router{
+			Self: "self", Owners: func(int, int) []string { return owners }, Shards: func() int { return 1 },
+			Local: func(int, int) *Coordinator { return c }, Log: hclog.NewNullLogger(),
+			Peers: fakePeers(func(string, *radishpeerpb.Request) (*radishpeerpb.Response, error) { return nil, radish.ErrUnavailable }),
+		}
+		if _, err := r.Run(t.Context(), newPlan("call", 2*time.Second)); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/radishstage/router.go
+++ b/internal/radishstage/router.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxOwners is how many VMs are asked in turn to coordinate a plan; the own VM is the last one.
-	maxOwners = 4
+	// maxOwners is how many VMs are asked in turn to coordinate a plan before the own VM does.
+	maxOwners = 3
 	// suspectTime is how long a VM that did not answer is left alone.
 	suspectTime = 2 * time.Second
 )
@@ -50,7 +50,10 @@
 	shard := shardOf(p.CallID, shards)
 	for range maxOwners {
 		owner := r.owner(shard, shards)
-		result, err := r.runAt(ctx, owner, shard, shards, p)
+		if owner == r.Self {
+			break
+		}
+		result, err := r.ask(ctx, owner, shard, shards, p)
 		isElsewhere := errors.Is(err, radish.ErrUnavailable) || errors.Is(err, ErrMoved)
 		if !isElsewhere || ctx.Err() != nil {
 			return result, err
@@ -58,14 +61,11 @@
 		r.Log.Warn("coordinator did not answer", "peer", owner, "shard", shard, "id", p.CallID, "error", err.Error())
 		r.suspect(owner)
 	}
-	return nil, &RefusedError{RetryAfter: retryFloor, Reason: "no VM coordinates the stages"}
-}
-
-func (r *Router) runAt(ctx context.Context, owner string, shard, shards int, p *Plan) (*Result, error) {
-	if owner == r.Self {
-		return r.Local(shard, shards).Run(ctx, p)
+	result, err := r.Local(shard, shards).Run(ctx, p)
+	if errors.Is(err, ErrMoved) {
+		return nil, &RefusedError{RetryAfter: retryFloor, Reason: "this VM leaves, and no other one coordinates the stages"}
 	}
-	return r.ask(ctx, owner, shard, shards, p)
+	return result, err
 }
 
 // owner returns the VM that coordinates the shard now: the first choice that has not failed to answer of late.
