Split files by what they hold, drop settings that nothing reads

Cause: read as a newcomer: radishstage/slot.go (421 lines) and radishfleet/fleet.go (469) each held three things; two settings were decoded and never read.

Change: result.go, engine.go and outcome.go; no logic is changed.

--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -6,7 +6,6 @@
 	"errors"
 	"hash/fnv"
 	"slices"
-	"strings"
 	"time"
 
 	"radishramp.example/radishramp/pkg/radish"
@@ -16,32 +15,17 @@
 )
 
 const (
-	// freeDelay collects results that are given up at about the same time into one call.
-	freeDelay = 20 * time.Millisecond
-	// freeTimeout bounds the call that gives results up.
-	freeTimeout = time.Second
 	// slowFactor and slowSlack are after how much more than the expected time of a call its pieces are also sent elsewhere.
 	slowFactor = 1.5
 	slowSlack  = 150 * time.Millisecond
-	// roomShare is the part of a target's room that is planned for, since the sizes of results vary.
-	roomShare = 0.92
-	// tightShare is the part of the room that is taken from which inputs are given up as soon as they were read.
-	tightShare = 0.25
-	// spareShare is the part of a target's room that a call must leave so that all of its results fit for sure.
-	spareShare = 0.05
 	// avoidTime is how long after a call a piece that it did not make goes to other targets first.
 	avoidTime = 500 * time.Millisecond
-	// readTime is how long after a call's begin its inputs have been read.
-	readTime = 80 * time.Millisecond
 	// giveUpFactor is after how many times the expected time a call is given up.
 	giveUpFactor = 6
 	// fullPause is how long a target that turned a call away is left alone.
 	fullPause = 100 * time.Millisecond
 	// slownessWeight is the weight of the newest call in the average of a target's slowness.
 	slownessWeight = 0.5
-	// usualHold is about how long a result takes up room, until any was seen; holdWeight is the weight of the newest one.
-	usualHold  = 700 * time.Millisecond
-	holdWeight = 0.02
 	// slownessStep is the difference in slowness below which targets count as alike.
 	slownessStep = 0.5
 )
@@ -58,13 +42,6 @@
 	freeSoon bool
 }
 
-// held is a result that takes up room at its maker.
-type held struct {
-	bytes  int64
-	madeAt time.Time
-	until  time.Time
-}
-
 func (c *Coordinator) slotOf(t radish.Target) *slot {
 	s := c.slots[t.Address]
 	if s == nil || s.target.Name != t.Name || s.target.Started != t.Started {
@@ -74,19 +51,6 @@
 	return s
 }
 
-// room is how much of the target's room for results is not taken by results that are known here.
-func (s *slot) room(batch *radishroute.Batch, now time.Time) int64 {
-	room := int64(roomShare * float64(batch.RoomBytes))
-	for handle, h := range s.results {
-		if now.After(h.until) {
-			delete(s.results, handle)
-			continue
-		}
-		room -= h.bytes
-	}
-	return room
-}
-
 // usable returns the targets of the service in the coordinator's shard that may take work.
 func (c *Coordinator) usable(service string, now time.Time) []radish.Target {
 	if c.Shards <= 1 {
@@ -300,119 +264,6 @@
 	}
 }
 
-// hasRoomToSpare tells whether all results of the call will fit, so that its inputs are not needed for another one.
-func (c *Coordinator) hasRoomToSpare(call radishbatch.Call, items []*radishbatch.Item, batch *radishroute.Batch) bool {
-	left := call.RoomBytes
-	for _, item := range items {
-		left -= item.Bytes
-	}
-	return float64(left) > spareShare*float64(batch.RoomBytes)
-}
-
-// freeInputsSoon gives up the inputs of the pieces once they were read, where their makers are short of room. If a call
-// fails after that, its inputs are made again.
-func (c *Coordinator) freeInputsSoon(items []*radishbatch.Item) {
-	jobs := make(map[*job]bool)
-	for _, item := range items {
-		if j := c.owners[item]; j != nil {
-			j.stages[item.Piece.Stage].running[item.Piece.Number] = true
-			jobs[j] = true
-		}
-	}
-	time.AfterFunc(readTime, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		for j := range jobs {
-			c.freeRead(j)
-		}
-	})
-}
-
-func (c *Coordinator) freeRead(j *job) {
-	if j.ended || j.keepsInputs {
-		return
-	}
-	for i := range j.stages {
-		if !j.stages[i].freed && j.stages[i].left == 0 && j.isFollowed(i) && c.isTight(j.plan.Stages[i].Service, j.stages[i].handles) {
-			c.giveUp(j.freeIfRead(i))
-		}
-	}
-}
-
-// isTight tells whether a maker of the results is short of room.
-func (c *Coordinator) isTight(service string, handles []string) bool {
-	batch := c.Batch(service)
-	if batch == nil {
-		return false
-	}
-	for _, handle := range handles {
-		address, _, _ := strings.Cut(handle, "/")
-		s := c.slots[address]
-		if s != nil && float64(s.room(batch, time.Now())) < (1-tightShare)*float64(batch.RoomBytes) {
-			return true
-		}
-	}
-	return false
-}
-
-// giveUp frees results soon; their room counts as taken until then.
-func (c *Coordinator) giveUp(handles []string) {
-	for _, handle := range handles {
-		address, _, _ := strings.Cut(handle, "/")
-		s := c.slots[address]
-		if s == nil {
-			continue
-		}
-		s.freeing = append(s.freeing, handle)
-		if !s.freeSoon {
-			s.freeSoon = true
-			time.AfterFunc(freeDelay, func() { c.sendFree(address, s) })
-		}
-	}
-}
-
-func (c *Coordinator) sendFree(address string, s *slot) {
-	c.mu.Lock()
-	handles := s.freeing
-	s.freeing, s.freeSoon = nil, false
-	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-	defer cancel()
-	err := c.Client.FreePieces(ctx, address, handles)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err != nil {
-		// A result that is not given up ends by itself after its lifetime.
-		c.Log.Info("results not given up", "address", address, "results", len(handles), "error", err.Error())
-		return
-	}
-	now := time.Now()
-	for _, handle := range handles {
-		if h, ok := s.results[handle]; ok {
-			c.countHold(s.target.Service, now.Sub(h.madeAt))
-		}
-		delete(s.results, handle)
-	}
-	c.dispatch(now)
-}
-
-// countHold learns how long results of the service take up room.
-func (c *Coordinator) countHold(service string, took time.Duration) {
-	known, ok := c.holds[service]
-	if !ok {
-		known = usualHold
-	}
-	c.holds[service] = known + time.Duration(holdWeight*float64(took-known))
-}
-
-// hold is about how long a result of the service takes up room after its call.
-func (c *Coordinator) hold(service string) time.Duration {
-	if known, ok := c.holds[service]; ok {
-		return known
-	}
-	return usualHold
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/pkg/radish/site.go
+++ b/pkg/radish/site.go
@@ -17,8 +17,6 @@
 	MemoryMB     int
 	// ShutdownGrace is the time between the order to stop and the kill.
 	ShutdownGrace time.Duration
-	// ConfigApply is how soon an accepted configuration must be in force.
-	ConfigApply time.Duration
 	// RetryShare and RetrySlack bound the repeats of all VMs in each RetryWindow.
 	RetryShare  float64
 	RetrySlack  float64
@@ -26,6 +24,4 @@
 	// ColdFactor and ColdSlack turn a service's cold rate into the bound of all VMs in one second.
 	ColdFactor float64
 	ColdSlack  float64
-	// HeartbeatInterval is how often targets renew their records.
-	HeartbeatInterval time.Duration
 }
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -257,151 +256,6 @@
 	return share * (1 - halves/2)
 }
 
-const (
-	// affinityFactor and affinitySlack bound the load of a prompt's own engine against the mean.
-	affinityFactor = 1.3
-	affinitySlack  = 6.0
-	// maxAffinityFailures is the share of failures above which an engine is passed over.
-	maxAffinityFailures = 0.3
-)
-
-// bestByAffinity takes the engine with the highest hash for the prompt whose load is near the mean, in the data centre
-// of the inputs if there is one.
-func (f *Fleet) bestByAffinity(q Query, candidates []*state, now time.Time) *state {
-	if q.Near != "" {
-		near := slices.DeleteFunc(slices.Clone(candidates), func(s *state) bool { return s.target.DataCentre != q.Near })
-		if s := f.bestByHash(q, near, candidates, now); s != nil {
-			return s
-		}
-	}
-	if s := f.bestByHash(q, candidates, candidates, now); s != nil {
-		return s
-	}
-	q.Affinity = ""
-	return f.best(q, candidates, now)
-}
-
-func (f *Fleet) bestByHash(q Query, among, all []*state, now time.Time) *state {
-	total := 0.0
-	for _, s := range all {
-		total += s.busy(now)
-	}
-	bound := affinitySlack + affinityFactor*total/float64(max(1, len(all)))
-	var best *state
-	bestScore := 0.0
-	for _, s := range among {
-		if s.busy(now) > bound || s.failureShare(now) > maxAffinityFailures {
-			continue
-		}
-		score := q.score(s)
-		if best == nil || score > bestScore {
-			best, bestScore = s, score
-		}
-	}
-	return best
-}
-
-// score is the engine's weight for the prompt: by weighted rendezvous hashing, an engine wins in proportion to the
-// part of its data centre.
-func (q *Query) score(s *state) float64 {
-	hash := (float64(radish.RendezvousScore(s.target.Name, q.Affinity)) + 1) / math.MaxUint64
-	weight := 1.0
-	if q.Weights != nil {
-		weight = q.Weights[s.target.DataCentre]
-	}
-	return -weight / math.Log(min(hash, 1-1e-12))
-}
-
-// Place returns the data centre of the engine that the prompt belongs to; "" when there is none.
-func (f *Fleet) Place(q Query, now time.Time) string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	candidates := f.warm(q, now)
-	if s := f.bestByHash(q, candidates, candidates, now); s != nil {
-		return s.target.DataCentre
-	}
-	return ""
-}
-
-// Weights returns, by data centre, how many targets of the stage service it has for each engine of the service.
-func (f *Fleet) Weights(stage, engine string, now time.Time) map[string]float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	stages, engines := f.countByPlace(stage, now), f.countByPlace(engine, now)
-	weights := make(map[string]float64, len(engines))
-	for place, n := range engines {
-		weights[place] = stages[place] / n
-	}
-	return weights
-}
-
-func (f *Fleet) countByPlace(service string, now time.Time) map[string]float64 {
-	counts := make(map[string]float64)
-	for _, s := range f.byService[service] {
-		if f.isUsable(s) && !f.isOut(s, now) {
-			counts[s.target.DataCentre]++
-		}
-	}
-	return counts
-}
-
-// Outcome is how a call went at a target.
-type Outcome struct {
-	// Failed tells whether the target is at fault, Rejected whether it turned the call away, Unreached whether no
-	// connection to it could be opened.
-	Failed    bool
-	Rejected  bool
-	Unreached bool
-	Load      radish.TargetLoad
-}
-
-// Done ends a call that Pick counted.
-func (f *Fleet) Done(name string, o Outcome, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.targets[name]
-	if s == nil {
-		return
-	}
-	s.inFlight = max(0, s.inFlight-1)
-	f.noteReach(s.target, o, now)
-	if o.Load.Known {
-		s.load, s.loadAt = o.Load, now
-	}
-	if o.Rejected {
-		s.reject(now)
-		return
-	}
-	s.count(o.Failed, now)
-}
-
-// reject counts a target that turned a call away as full for a while.
-func (s *state) reject(now time.Time) {
-	full := 2 * max(1, s.target.Slots)
-	if !s.load.Known || s.loadAt != now {
-		s.load, s.loadAt = radish.TargetLoad{Running: s.target.Slots, Waiting: full, Slots: s.target.Slots, Known: true}, now
-	}
-}
-
-func (s *state) count(failed bool, now time.Time) {
-	sample := 0.0
-	if failed {
-		sample = 1
-	}
-	s.failures = s.failureShare(now)*(1-failureWeight) + failureWeight*sample
-	s.failedAt = now
-	if !failed {
-		s.row, s.ejectedFor = 0, 0
-		return
-	}
-	s.row++
-	if s.row < ejectAfter {
-		return
-	}
-	s.ejectedFor = min(ejectLimit, max(ejectFirst, 2*s.ejectedFor))
-	s.ejectedUntil = now.Add(s.ejectedFor)
-}
-
 // Usable returns the targets of the service that may take work, those out of use left out.
 func (f *Fleet) Usable(service string, now time.Time) []radish.Target {
 	f.mu.Lock()
@@ -433,16 +287,6 @@
 	return usable
 }
 
-// Report counts how a call outside of Pick went.
-func (f *Fleet) Report(name string, o Outcome, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s := f.targets[name]; s != nil {
-		f.noteReach(s.target, o, now)
-		s.count(o.Failed, now)
-	}
-}
-
 // PlaceOf returns the data centre of the target that has the address; "" when none is known.
 func (f *Fleet) PlaceOf(address string) string {
 	f.mu.Lock()
