--- a/pkg/radish/send.go
+++ b/pkg/radish/send.go
@@ -99,8 +99,9 @@
 
 // StageClient runs pieces of stages at targets.
 type StageClient interface {
-	// RunPieces runs the pieces in one batch, with one result a piece; ErrRejected when the target ran none.
-	RunPieces(ctx context.Context, t Target, pieces []Piece) ([]PieceResult, error)
+	// RunPieces runs the pieces in one batch, with one result a piece, and returns the target's load after it; ErrRejected
+	// when the target ran none.
+	RunPieces(ctx context.Context, t Target, pieces []Piece) ([]PieceResult, TargetLoad, error)
 	// FreePieces gives up results at their maker.
 	FreePieces(ctx context.Context, address string, handles []string) error
 }
