--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -125,13 +125,6 @@
 	return names
 }
 
-// owns tells whether the target falls to the VMs in reach: of all VMs, rendezvous hashing names one for each target.
-// Groups of VMs that are cut from each other divide the targets by that without a message.
-func (p *peers) owns(target string) bool {
-	owner := radish.RendezvousOwners(p.names(), "target/"+target, 1)[0]
-	return owner == p.self.Name || slices.Contains(p.node.Linked(), owner)
-}
-
 // hasOthers tells whether another VM can be given work.
 func (p *peers) hasOthers() bool {
 	names := p.reachable()
--- a/internal/radishsite/peer_test.go
+++ b/internal/radishsite/peer_test.go
@@ -168,31 +168,6 @@
 	})
 }
 
-// TestGroupsOfVMsDivideTargets cuts six VMs into two groups: each target falls to exactly one of them.
-func TestGroupsOfVMsDivideTargets(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		vms := startPeers(t, 6)
-		for n := range 20 {
-			target := fmt.Sprint("i-", n)
-			for _, p := range vms {
-				if !p.owns(target) {
-					t.Errorf("%s falls to nobody in reach of %s, which reaches all", target, p.self.Name)
-				}
-			}
-			owners := 0
-			for _, p := range vms {
-				alone := &peers{self: p.self, node: &radishpeer.Node{}, known: p.known}
-				if alone.owns(target) {
-					owners++
-				}
-			}
-			if owners != 1 {
-				t.Errorf("%s falls to %d of six VMs that are each alone", target, owners)
-			}
-		}
-	})
-}
-
 func TestLeavingVMIsNoCoordinator(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		vms := startPeers(t, 4)
--- a/internal/radishsite/share.go
+++ b/internal/radishsite/share.go
@@ -14,8 +14,7 @@
 	c := s.coordinators[key]
 	if c == nil {
 		c = &radishstage.Coordinator{
-			Fleet: s.fleet, Client: s.Stages, Batch: s.batchOf, Shard: shard, Shards: shards,
-			Owns: s.peers.owns, Metrics: s.metrics, Log: s.Log.Named("stage").With("shard", shard),
+			Fleet: s.fleet, Client: s.Stages, Batch: s.batchOf, Shard: shard, Shards: shards, Metrics: s.metrics, Log: s.Log.Named("stage").With("shard", shard),
 		}
 		s.coordinators[key] = c
 	}
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -39,20 +39,16 @@
 	Batch func(service string) *radishroute.Batch
 	// Shard of Shards is the part of each service's targets that this coordinator uses.
 	Shard, Shards int
-	// Owns tells whether the target falls to the VMs in reach, when others use the targets too; nil stands for all.
-	Owns func(target string) bool
 	// Metrics counts plans and calls; nil counts nothing.
 	Metrics *radishmetric.Metrics
 	Log     hclog.Logger
 
 	mu      sync.Mutex
 	leaving bool
-	// foreignAt is when a target showed work of another coordinator last.
-	foreignAt time.Time
-	jobs      map[*job]bool
-	owners    map[*radishbatch.Item]*job
-	queues    map[string]*radishbatch.Queue
-	slots     map[string]*slot
+	jobs    map[*job]bool
+	owners  map[*radishbatch.Item]*job
+	queues  map[string]*radishbatch.Queue
+	slots   map[string]*slot
 	// holds is, by service, the moving average of the time for which results take up room.
 	holds   map[string]time.Duration
 	recheck *time.Timer
--- a/internal/radishstage/coordinator_test.go
+++ b/internal/radishstage/coordinator_test.go
@@ -35,12 +35,9 @@
 	// full is how often targets have no room for any result.
 	full map[string]int
 	made int
-	// load is what targets say of theirs after each call, callsAt counts the calls by target.
-	load    radish.TargetLoad
-	callsAt map[string]int
 }
 
-func (f *fakeTargets) RunPieces(ctx context.Context, t radish.Target, pieces []radish.Piece) ([]radish.PieceResult, radish.TargetLoad, error) {
+func (f *fakeTargets) RunPieces(ctx context.Context, t radish.Target, pieces []radish.Piece) ([]radish.PieceResult, error) {
 	took := callTime + time.Duration(len(pieces))*pieceTime
 	if f.slow[t.Name] {
 		took *= 10
@@ -48,10 +45,10 @@
 	select {
 	case <-time.After(took):
 	case <-ctx.Done():
-		return nil, radish.TargetLoad{}, ctx.Err()
+		return nil, ctx.Err()
 	}
 	if f.broken[t.Name] {
-		return nil, radish.TargetLoad{}, errors.New("connection reset")
+		return nil, errors.New("connection reset")
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -79,8 +76,7 @@
 		}
 	}
 	f.calls = append(f.calls, fmt.Sprintf("%s:%d", t.Service, len(pieces)))
-	f.callsAt[t.Name]++
-	return results, f.load, nil
+	return results, nil
 }
 
 func (f *fakeTargets) FreePieces(_ context.Context, _ string, handles []string) error {
@@ -105,20 +101,8 @@
 	return len(f.freed)
 }
 
-func (f *fakeTargets) setLoad(load radish.TargetLoad) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.load = load
-}
-
-func (f *fakeTargets) callsTo(target string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.callsAt[target]
-}
-
 func newCoordinator(targets int) (*Coordinator, *fakeTargets) {
-	fake := &fakeTargets{freed: make(map[string]bool), given: make(map[string][]string), slow: make(map[string]bool), broken: make(map[string]bool), callsAt: make(map[string]int)}
+	fake := &fakeTargets{freed: make(map[string]bool), given: make(map[string][]string), slow: make(map[string]bool), broken: make(map[string]bool)}
 	fleet := &radishfleet.Fleet{DataCentre: "a"}
 	for _, service := range []string{"enc", "rank"} {
 		for i := range targets {
@@ -472,34 +456,3 @@
 		}
 	})
 }
-
-// TestTargetsAreDividedWithAnotherCoordinator has targets show work of others after each call, as when VMs are cut from
-// each other but not from the targets: the coordinator keeps to the targets that fall to it, and uses all again later.
-func TestTargetsAreDividedWithAnotherCoordinator(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c, fake := newCoordinator(2)
-		c.Owns = func(target string) bool { return strings.HasSuffix(target, "-0") }
-		run := func(calls int) int {
-			before := fake.callsTo("enc-1")
-			var wg sync.WaitGroup
-			for n := range calls {
-				wg.Go(func() { _, _ = c.Run(t.Context(), newPlan(fmt.Sprint("call-", n), 8*time.Second)) })
-			}
-			wg.Wait()
-			return fake.callsTo("enc-1") - before
-		}
-		if n := run(10); n == 0 {
-			t.Error("a target is left out though no other coordinator is there")
-		}
-		fake.setLoad(radish.TargetLoad{Running: 1, Slots: 1, Known: true})
-		run(2)
-		if n := run(10); n > 0 {
-			t.Errorf("%d calls to a target that falls to others", n)
-		}
-		fake.setLoad(radish.TargetLoad{Slots: 1, Known: true})
-		time.Sleep(foreignMemory + time.Second)
-		if n := run(10); n == 0 {
-			t.Error("the target is left out though the other coordinator has gone")
-		}
-	})
-}
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -22,8 +22,6 @@
 	avoidTime = 500 * time.Millisecond
 	// giveUpFactor is after how many times the expected time a call is given up.
 	giveUpFactor = 6
-	// foreignMemory is how long after a sign of another coordinator the targets are divided.
-	foreignMemory = 3 * time.Second
 	// fullPause is how long a target that turned a call away is left alone.
 	fullPause = 100 * time.Millisecond
 	// slownessWeight is the weight of the newest call in the average of a target's slowness.
@@ -53,45 +51,14 @@
 	return s
 }
 
-// usable returns the targets of the service in the coordinator's shard that may take work. While another coordinator uses
-// the targets too, as when VMs are cut from each other but not from the targets, each keeps to those that fall to the VMs
-// in its reach.
+// usable returns the targets of the service in the coordinator's shard that may take work.
 func (c *Coordinator) usable(service string, now time.Time) []radish.Target {
-	targets := c.inShard(service, now)
-	if c.Owns == nil || now.Sub(c.foreignAt) > foreignMemory {
-		return targets
-	}
-	var own []radish.Target
-	for _, t := range targets {
-		if c.Owns(t.Name) {
-			own = append(own, t)
-		}
-	}
-	if len(own) == 0 {
-		return targets
-	}
-	return own
-}
-
-func (c *Coordinator) inShard(service string, now time.Time) []radish.Target {
 	if c.Shards <= 1 {
 		return c.Fleet.Usable(service, now)
 	}
 	return c.Fleet.UsableShard(service, c.Shard, c.Shards, now)
 }
 
-// noteForeign notes work at a target that is not this coordinator's: it has one call there at a time, which has ended.
-func (c *Coordinator) noteForeign(call *finished, now time.Time) {
-	isForeign := errors.Is(call.err, radish.ErrRejected) || call.load.Known && call.load.Running+call.load.Waiting > 0
-	if !isForeign || call.batch.Slots > 1 {
-		return
-	}
-	if now.Sub(c.foreignAt) > foreignMemory {
-		c.Log.Warn("another coordinator uses the targets too", "target", call.target.Name, "service", call.service)
-	}
-	c.foreignAt = now
-}
-
 // shardOf returns the shard of a call by its id.
 func shardOf(name string, shards int) int {
 	if shards <= 1 {
@@ -133,11 +100,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), giveUpFactor*expected)
 		defer cancel()
-		results, load, err := c.Client.RunPieces(ctx, t, pieces)
+		results, err := c.Client.RunPieces(ctx, t, pieces)
 		slow.Stop()
-		call := &finished{
-			target: t, service: service, batch: batch, items: items, results: results, load: load, err: err, took: time.Since(now), expected: expected,
-		}
+		call := &finished{target: t, service: service, batch: batch, items: items, results: results, err: err, took: time.Since(now), expected: expected}
 		c.finish(call)
 	}()
 }
@@ -149,7 +114,6 @@
 	batch    *radishroute.Batch
 	items    []*radishbatch.Item
 	results  []radish.PieceResult
-	load     radish.TargetLoad
 	err      error
 	took     time.Duration
 	expected time.Duration
@@ -191,9 +155,7 @@
 	s.calls = max(0, s.calls-1)
 	c.Metrics.StageCall(call.service, call.took, len(call.items), call.err == nil)
 	c.Log.Debug("stage call ended", "target", call.target.Name, "service", call.service, "pieces", len(call.items),
-		"took_ms", call.took.Milliseconds(), "expected_ms", call.expected.Milliseconds(), "waiting", c.queueOf(call.service).Len(),
-		"target_running", call.load.Running, "target_waiting", call.load.Waiting, "error", errorText(call.err))
-	c.noteForeign(call, now)
+		"took_ms", call.took.Milliseconds(), "expected_ms", call.expected.Milliseconds(), "waiting", c.queueOf(call.service).Len(), "error", errorText(call.err))
 	if call.err != nil {
 		c.finishFailed(call, s, now)
 	} else {
--- a/pkg/radish/send.go
+++ b/pkg/radish/send.go
@@ -99,9 +99,8 @@
 
 // StageClient runs pieces of stages at targets.
 type StageClient interface {
-	// RunPieces runs the pieces in one batch, with one result a piece, and returns the target's load after it; ErrRejected
-	// when the target ran none.
-	RunPieces(ctx context.Context, t Target, pieces []Piece) ([]PieceResult, TargetLoad, error)
+	// RunPieces runs the pieces in one batch, with one result a piece; ErrRejected when the target ran none.
+	RunPieces(ctx context.Context, t Target, pieces []Piece) ([]PieceResult, error)
 	// FreePieces gives up results at their maker.
 	FreePieces(ctx context.Context, address string, handles []string) error
 }
