Refuse what cannot be passed on, and break off what its caller left

Cause: three findings of reading. A caller that left while its call looked for a target got no answer written, which net/http ends as an empty success. More than 1,000 pieces of a stage were cut to 1,000 without a word. A path that begins with two slashes could not be sent, counted as not sent, and so spoke against every target that was tried: one caller could take all targets of a service out of use.

--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -104,7 +104,7 @@
 
 func (e *exchange) refuseWithoutTarget(ctx context.Context) {
 	if isGone(ctx) {
-		e.outcome = outcomeLeft
+		e.breakOff(outcomeLeft)
 		return
 	}
 	if e.sends > 0 {
@@ -118,8 +118,7 @@
 func (e *exchange) giveUp(ctx context.Context, v verdict) {
 	switch {
 	case isGone(ctx):
-		e.outcome = outcomeLeft
-		e.w.Abort()
+		e.breakOff(outcomeLeft)
 	case ctx.Err() != nil && e.sends > 0:
 		e.refuse(radish.Refusal{Kind: radish.RefusalOutOfTime, Reason: "no answer in time"})
 	case e.sends > 0:
@@ -131,6 +130,12 @@
 	}
 }
 
+// breakOff ends the call without an answer, or in the middle of one, so that it cannot look complete.
+func (e *exchange) breakOff(outcome string) {
+	e.outcome = outcome
+	e.w.Abort()
+}
+
 // attempt sends the call to the target once.
 func (e *exchange) attempt(ctx context.Context, t radish.Target) verdict {
 	ctx, cancel := context.WithCancel(ctx)
@@ -200,6 +205,10 @@
 
 // judge reads the answer, passes it on if it is one, and tells what it says of the target.
 func (e *exchange) judge(ctx context.Context, t radish.Target, a *radish.TargetAnswer, err error) (verdict, radishfleet.Outcome) {
+	if errors.Is(err, radish.ErrBadRequest) {
+		e.refuse(radish.Refusal{Kind: radish.RefusalBadRequest, Reason: err.Error()})
+		return verdictDone, radishfleet.Outcome{}
+	}
 	if errors.Is(err, radish.ErrNotSent) {
 		e.tried[t.Name] = true
 		return verdictNotRun, radishfleet.Outcome{Failed: ctx.Err() == nil, Unreached: ctx.Err() == nil}
@@ -277,8 +286,7 @@
 			return verdictDone, radishfleet.Outcome{}
 		}
 		if err != nil {
-			e.outcome = outcomeCut
-			e.w.Abort()
+			e.breakOff(outcomeCut)
 			return verdictDone, radishfleet.Outcome{Failed: ctx.Err() == nil}
 		}
 	}
--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -29,19 +29,23 @@
 // pieces returns how many pieces the call has of the stage.
 func (e *exchange) pieces(stage int) int {
 	if stage < len(e.call.Pieces) {
-		return min(maxPieces, e.call.Pieces[stage])
+		return e.call.Pieces[stage]
 	}
 	return 0
 }
 
-// hasPieces tells whether any stage of the call has work.
-func (e *exchange) hasPieces() bool {
+// largestStage returns the most pieces that the call has of any stage.
+func (e *exchange) largestStage() int {
+	most := 0
 	for i := range e.route.Stages {
-		if e.pieces(i) > 0 {
-			return true
-		}
+		most = max(most, e.pieces(i))
 	}
-	return false
+	return most
+}
+
+// hasPieces tells whether any stage of the call has work.
+func (e *exchange) hasPieces() bool {
+	return e.largestStage() > 0
 }
 
 // makeInputs has the stages of the call run.
@@ -202,8 +206,7 @@
 // refuseWithoutInputs ends a call whose stages failed: it has not run.
 func (e *exchange) refuseWithoutInputs(ctx context.Context, err error) {
 	if isGone(ctx) {
-		e.outcome = outcomeLeft
-		e.w.Abort()
+		e.breakOff(outcomeLeft)
 		return
 	}
 	retryAfter := spread(capacityRetry)
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -125,6 +126,9 @@
 	if e.service == nil {
 		return radish.Refusal{Kind: radish.RefusalNotRun, RetryAfter: spread(capacityRetry), Reason: "the route's service is not configured"}, false
 	}
+	if n := e.largestStage(); n > maxPieces {
+		return radish.Refusal{Kind: radish.RefusalBadRequest, Reason: fmt.Sprintf("%d pieces of one stage, at most %d are taken", n, maxPieces)}, false
+	}
 	e.relay.Budget.Earn(e.service.Name, e.relay.RetryShare())
 	wait := defaultWait
 	if e.call.Wait > 0 {
--- a/internal/radishrelay/stream.go
+++ b/internal/radishrelay/stream.go
@@ -60,8 +60,7 @@
 	if !e.begun || e.route.IsResumable && e.lastEvent != "" {
 		return verdictRepeat, outcome
 	}
-	e.outcome = outcomeCut
-	e.w.Abort()
+	e.breakOff(outcomeCut)
 	return verdictDone, outcome
 }
 
