Learn the room that unknown results take up at stage targets

Inputs were given up 80 ms after a call was sent, while the call still waited behind the other coordinator's: 493 pieces found them gone. Change: each answer of a call tells how much of the room results hold that are not known here; it is believed for a while and halves each second. Inputs are given up early only while no call or result shows another coordinator. The estimate of what a stage can make counts with the room that is left.

--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -50,7 +50,9 @@
 	queues  map[string]*radishbatch.Queue
 	slots   map[string]*slot
 	// holds is, by service, the moving average of the time for which results take up room.
-	holds   map[string]time.Duration
+	holds map[string]time.Duration
+	// rivalAt is when another VM's coordinator was last seen at the targets.
+	rivalAt time.Time
 	recheck *time.Timer
 }
 
@@ -165,18 +167,19 @@
 
 func (c *Coordinator) addTargets(line *radishbatch.Line, s Stage, batch *radishroute.Batch, now time.Time) {
 	full := batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
-	perTarget := float64(batch.MaxPieces) / full.Seconds()
-	if s.ResultBytes > 0 {
-		byRoom := float64(batch.RoomBytes) / float64(s.ResultBytes) / (full + c.hold(s.Service)).Seconds()
-		perTarget = min(perTarget, byRoom)
-	}
+	byTime := float64(batch.MaxPieces) / full.Seconds()
 	for _, t := range c.usable(s.Service, now) {
 		slot := c.slotOf(t)
 		line.Targets++
 		if slot.calls >= batch.Slots {
 			line.Busy++
 		}
-		line.PerSecond += fullEfficiency * perTarget / max(1, slot.slowness)
+		perSecond := byTime
+		if s.ResultBytes > 0 {
+			results := slot.roomPart(batch, now) * float64(batch.RoomBytes) / float64(s.ResultBytes)
+			perSecond = min(perSecond, results/(full+c.hold(s.Service)).Seconds())
+		}
+		line.PerSecond += fullEfficiency * perSecond / max(1, slot.slowness)
 	}
 }
 
@@ -322,7 +325,7 @@
 		}
 		if items := q.Take(call, now); len(items) > 0 {
 			c.start(t, service, batch, items, now)
-			if c.hasRoomToSpare(call, items, batch) {
+			if c.isAlone(now) && hasRoomToSpare(call, items, batch) {
 				c.freeInputsSoon(items)
 			}
 		}
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -36,6 +36,10 @@
 	calls   int
 	blocked time.Time
 	results map[string]held
+	// others is about how many bytes of the room were taken as of othersAt by results that are not known here: those of
+	// another coordinator, or of calls whose answer was lost.
+	others   float64
+	othersAt time.Time
 	// slowness is the moving average of the time of calls in parts of the expected time.
 	slowness float64
 	freeing  []string
@@ -86,6 +90,7 @@
 func (c *Coordinator) start(t radish.Target, service string, batch *radishroute.Batch, items []*radishbatch.Item, now time.Time) {
 	c.slotOf(t).calls++
 	expected := batch.CallTime + time.Duration(len(items))*batch.PieceTime
+	known := c.slotOf(t).known(now)
 	pieces := make([]radish.Piece, len(items))
 	for i, item := range items {
 		if j := c.owners[item]; j != nil && item.IsHeavy {
@@ -102,7 +107,7 @@
 		defer cancel()
 		results, err := c.Client.RunPieces(ctx, t, pieces)
 		slow.Stop()
-		call := &finished{target: t, service: service, batch: batch, items: items, results: results, err: err, took: time.Since(now), expected: expected}
+		call := &finished{target: t, service: service, batch: batch, items: items, results: results, err: err, took: time.Since(now), expected: expected, known: known}
 		c.finish(call)
 	}()
 }
@@ -117,6 +122,21 @@
 	err      error
 	took     time.Duration
 	expected time.Duration
+	// known is how many bytes of the target's room were taken at the call's begin, as far as was known here.
+	known int64
+}
+
+// bytes returns the size of the results that the call made, and whether the target had no room for others.
+func (f *finished) bytes() (made int64, isFull bool) {
+	for i, r := range f.results {
+		switch r.Outcome {
+		case radish.PieceDone:
+			made += f.items[i].Bytes
+		case radish.PieceNoRoom:
+			isFull = true
+		}
+	}
+	return made, isFull
 }
 
 // sendElsewhere queues the pieces of a slow call again: a piece may be made twice, and the first result counts.
@@ -161,6 +181,9 @@
 	} else {
 		s.slowness += slownessWeight * (float64(call.took)/float64(call.expected) - s.slowness)
 		c.Fleet.Report(call.target.Name, radishfleet.Outcome{}, now)
+		made, isShort := call.bytes()
+		c.noteRivals(call, isShort, now)
+		s.learnRoom(call.batch.RoomBytes-call.known-made, isShort, now)
 		if isFull(call.results) {
 			// Results that this VM does not know of take up the room, and end within their lifetime.
 			s.blocked = now.Add(fullPause)
