Keep shards of stage targets when some crash

Targets were dealt out in the order of their names, so that one crash moved 8.5 of 18. Change: the number of shards follows the mean of the services, and targets go to the shard that rendezvous hashing prefers, in equal parts by data centre: one crash moves 2.2 of 18.

--- a/internal/radishsite/share.go
+++ b/internal/radishsite/share.go
@@ -29,9 +29,6 @@
 	return cfg.Services[service].Batch
 }
 
-// targetsPerShard is how many targets of each stage service one coordinator has at least.
-const targetsPerShard = 5
-
 // shards returns how many shards the stage targets are divided into.
 func (s *Server) shards() int {
 	cfg := s.beliefs.config.Load()
@@ -44,7 +41,7 @@
 			services = append(services, name)
 		}
 	}
-	return max(1, s.fleet.LeastCount(services)/targetsPerShard)
+	return s.fleet.Shards(services)
 }
 
 func (s *Server) wakeCoordinators() {
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -1,9 +1,7 @@
 package radishfleet
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +34,8 @@
 	mu        sync.Mutex
 	targets   map[string]*state
 	byService map[string][]*state
+	// divisions holds, by service, how its targets were dealt out last.
+	divisions map[string]*division
 	evacuated map[string]bool
 	places    map[string]*place
 }
@@ -73,6 +73,7 @@
 		s = &state{}
 		f.targets[t.Name] = s
 		f.byService[t.Service] = append(f.byService[t.Service], s)
+		delete(f.divisions, t.Service)
 	}
 	isChange := isNew || s.target.Leaving != t.Leaving
 	s.target, s.setAt = t, now
@@ -94,6 +95,7 @@
 	}
 	delete(f.targets, name)
 	service := s.target.Service
+	delete(f.divisions, service)
 	f.byService[service] = slices.DeleteFunc(f.byService[service], func(other *state) bool { return other == s })
 }
 
@@ -269,24 +271,6 @@
 	return usable
 }
 
-// UsableShard returns those of the service's targets in the shard that may take work, those out of use left out. All targets,
-// usable or not, are dealt out in the order of their data centres and names, so that shards are alike in each of them.
-func (f *Fleet) UsableShard(service string, shard, shards int, now time.Time) []radish.Target {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	all := slices.Clone(f.byService[service])
-	slices.SortFunc(all, func(a, b *state) int {
-		return cmp.Or(strings.Compare(a.target.DataCentre, b.target.DataCentre), strings.Compare(a.target.Name, b.target.Name))
-	})
-	var usable []radish.Target
-	for i, s := range all {
-		if i%shards == shard && f.isUsable(s) && !f.isOut(s, now) {
-			usable = append(usable, s.target)
-		}
-	}
-	return usable
-}
-
 // PlaceOf returns the data centre of the target that has the address; "" when none is known.
 func (f *Fleet) PlaceOf(address string) string {
 	f.mu.Lock()
@@ -298,16 +282,3 @@
 	}
 	return ""
 }
-
-// LeastCount returns the smallest number of targets, usable or not, that any of the services has.
-func (f *Fleet) LeastCount(services []string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	least := 0
-	for i, service := range services {
-		if n := len(f.byService[service]); i == 0 || n < least {
-			least = n
-		}
-	}
-	return least
-}
