--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -267,6 +267,7 @@
 
 func (e *exchange) begin(a *radish.TargetAnswer) {
 	e.begun = true
+	e.firstAfter = time.Since(e.call.Received)
 	e.w.Begin(a.Status, a.Header)
 }
 
--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	e.inputs = result.Handles
+	e.inputs, e.stagesAfter = result.Handles, time.Since(e.call.Received)
 	return nil
 }
 
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -91,7 +91,13 @@
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	begun     bool
-	outcome   string
+	// stagesAfter and firstAfter are how long after the call came its stages had ended and its answer began.
+	stagesAfter time.Duration
+	firstAfter  time.Duration
+	// eventAt is when the last event was passed on, longestPause the longest time between two.
+	eventAt      time.Time
+	longestPause time.Duration
+	outcome      string
 }
 
 // Handle implements radish.CallHandler.
@@ -196,5 +202,6 @@
 	took := time.Since(e.call.Received)
 	e.relay.Metrics.Request(e.routeName(), e.outcome, took)
 	e.relay.Log.Info("call ended", "id", e.call.ID, "outcome", e.outcome, "route", e.routeName(), "team", e.teamName(), "sends", e.sends,
-		"took_ms", took.Milliseconds(), "config_version", e.configVersion(), "config_age_ms", e.relay.ConfigAge().Milliseconds())
+		"stages_after_ms", e.stagesAfter.Milliseconds(), "first_after_ms", e.firstAfter.Milliseconds(), "took_ms", took.Milliseconds(),
+		"pause_ms", e.longestPause.Milliseconds(), "aim_ms", e.due.Sub(e.call.Received).Milliseconds(), "config_version", e.configVersion(), "config_age_ms", e.relay.ConfigAge().Milliseconds())
 }
--- a/internal/radishrelay/stream.go
+++ b/internal/radishrelay/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishfleet"
@@ -36,6 +37,7 @@
 			e.begin(a)
 			e.releaseInputs()
 		}
+		e.notePause()
 		if _, err := e.w.Write(event); err != nil {
 			e.outcome = outcomeLeft
 			return verdictDone, radishfleet.Outcome{}
@@ -46,6 +48,15 @@
 	}
 }
 
+// notePause takes in that an event is passed on now.
+func (e *exchange) notePause() {
+	now := time.Now()
+	if !e.eventAt.IsZero() {
+		e.longestPause = max(e.longestPause, now.Sub(e.eventAt))
+	}
+	e.eventAt = now
+}
+
 func (e *exchange) endStream(a *radish.TargetAnswer) (verdict, radishfleet.Outcome) {
 	if !e.begun {
 		e.begin(a)
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -27,6 +27,8 @@
 	retryFloor = 300 * time.Millisecond
 	// usualLoad is the part of a full call that a usual call holds.
 	usualLoad = 0.5
+	// admitMargin is the part of the expected time, and above, that must be left to be in time: half of the plans take longer.
+	admitMargin = 1.07
 	// fullEfficiency is the part of the targets' highest rate that is counted on.
 	fullEfficiency = 0.85
 )
@@ -120,7 +122,7 @@
 	if !ok {
 		return 0, c.refused(p, &RefusedError{RetryAfter: time.Second, Reason: "a stage has no target"}, 0)
 	}
-	if !now.Add(took).After(p.Due) {
+	if !now.Add(time.Duration(admitMargin * float64(took))).After(p.Due) {
 		return took, nil
 	}
 	alone, _ := radishbatch.Finish(radishbatch.Emptied(lines), needs)
