Soak entry VMs as processes under drawn faults

Change: TestSoak starts three entry VMs as processes, their links to the store and to targets through a proxy on loopback, and draws faults that come in series and overlap: slow, reset, half cut and silent links, outages of the store, changes of the configuration, processes that are killed, stopped, paused and reloaded. It checks what callers and targets saw: at most once, true refusals, whole answers of their own, none refused as unknown, an end in time after SIGTERM, no end by itself, recovery. The stand-in of the store reads a call before it falls silent, else net/http never notices that its caller has left, and the test hung. Not covered: links between VMs (docs/design/platform.md).

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,9 @@
 
 SEED ?= 0
 COUNT ?= 1000
+SECONDS ?= 4
 
-.PHONY: setup build generate demo bench slopes measure test lint model promises fuzz
+.PHONY: setup build generate demo bench slopes measure test lint model promises fuzz soak
 
 setup: ## Fetch the libraries and build the linter.
 	go mod download
@@ -40,6 +41,9 @@
 	for target in ./pkg/radishrule:FuzzParse ./internal/radishsetting:FuzzParse ./internal/radishentry:FuzzRequest ./internal/radishserve:FuzzPeerFrame \
 		./platform/radishadapter:FuzzParseSite ./platform/radishadapter:FuzzRecords ./platform/radishadapter:FuzzDecodeCall; do go test -run XXX -fuzz "^$${target#*:}$$" -fuzztime 10s "$${target%:*}" || exit 1; done
 
+soak: ## Play COUNT seeds of drawn faults from SEED (0: new ones) against entry VMs as processes, SECONDS of faults each.
+	go test -count=1 -v -timeout 120m -run '^TestSoak$$' ./e2e -soak.first=$(SEED) -soak.seeds=$(COUNT) -soak.seconds=$(SECONDS)
+
 lint: ## Check format and style.
 	test -x $(TOOLS)/golangci-lint || $(MAKE) setup
 	$(TOOLS)/golangci-lint fmt --diff
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -42,7 +42,11 @@
 		t.Fatalf("%v: %s", err, out)
 	}
 	server := httptest.NewServer(s.store.Handler())
-	t.Cleanup(server.Close)
+	t.Cleanup(func() {
+		// A call that the store left without an answer would be waited for.
+		server.CloseClientConnections()
+		server.Close()
+	})
 	s.address = strings.TrimPrefix(server.URL, "http://")
 	for i := range 2 {
 		s.plain = append(s.plain, s.addTarget(&radishadaptertest.Target{ID: fmt.Sprint("plain-", i), Work: 20 * time.Millisecond}, "plain"))
@@ -83,39 +87,70 @@
 // siteVM is one entry VM.
 type siteVM struct {
 	process
+	name  string
 	ready string
+	// args start the VM's process, each time with the same addresses; its log goes to output.
+	args   []string
+	output io.Writer
 }
 
 func (s *site) start(name string) *siteVM {
+	s.t.Helper()
+	vm := s.newVM(name, s.address)
+	s.launch(vm)
+	if !vm.isReady(readyTimeout) {
+		s.t.Fatalf("entry VM %s is not ready after %v", name, readyTimeout)
+	}
+	return vm
+}
+
+// newVM gives a VM addresses and settings; store is the address under which it reaches the store.
+func (s *site) newVM(name, store string) *siteVM {
 	s.t.Helper()
 	free := system{t: s.t}
 	front, ready, control, metrics := free.freePort(), free.freePort(), free.freePort(), free.freePort()
 	settings := fmt.Sprintf("node_name=%s\nzone=bandung\nzones.bandung=jawa\nbind_addresses.front=%s\nbind_addresses.ready=%s\nbind_addresses.control=%s\n"+
-		"platform.address=%s\nbounds.grace_s=6\nbounds.budget_slack=100\nbounds.budget_ratio=0.2\nlimits.memory_mb=206\n", name, front, ready, control, s.address)
+		"platform.address=%s\nbounds.grace_s=6\nbounds.budget_slack=100\nbounds.budget_ratio=0.2\nlimits.memory_mb=206\n", name, front, ready, control, store)
 	file := filepath.Join(s.t.TempDir(), name+".conf")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
 	_, port, _ := strings.Cut(metrics, ":")
-	vm := &siteVM{process: process{cmd: exec.Command(s.binary, "site", "-c", file, "--metrics-port", port, "--log-level", "warn"), caller: front}, ready: ready}
-	vm.cmd.Stdout, vm.cmd.Stderr = os.Stderr, os.Stderr
-	if err := vm.cmd.Start(); err != nil {
+	return &siteVM{
+		process: process{caller: front}, name: name, ready: ready, output: os.Stderr,
+		args: []string{"site", "-c", file, "--metrics-port", port, "--log-level", "warn"},
+	}
+}
+
+// launch starts the VM's process.
+func (s *site) launch(vm *siteVM) {
+	s.t.Helper()
+	cmd := exec.Command(s.binary, vm.args...)
+	cmd.Stdout, cmd.Stderr = vm.output, vm.output
+	if err := cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
+	vm.cmd = cmd
 	s.t.Cleanup(func() {
-		_ = vm.cmd.Process.Kill()
-		_, _ = vm.cmd.Process.Wait()
+		_ = cmd.Process.Kill()
+		_, _ = cmd.Process.Wait()
 	})
-	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if res, err := http.Get("http://" + ready + "/radishramp/readyz"); err == nil {
+}
+
+// readyClient asks VMs whether they are ready; one that is paused does not answer.
+var readyClient = &http.Client{Timeout: time.Second}
+
+// isReady waits until the VM says that it is ready, and tells whether it has within the time.
+func (vm *siteVM) isReady(within time.Duration) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if res, err := readyClient.Get("http://" + vm.ready + "/radishramp/readyz"); err == nil {
 			_ = res.Body.Close()
 			if res.StatusCode == http.StatusOK {
-				return vm
+				return true
 			}
 		}
 	}
-	s.t.Fatalf("entry VM %s is not ready after %v", name, readyTimeout)
-	return nil
+	return false
 }
 
 // call sends one request and returns the status and body; status 0 means that no whole answer came.
