Take no part of shared bounds before the other VMs are known, and log lost pieces once a call

Cause: found by reading. A VM that has not seen the list of VMs took itself for the only one: 17 VMs that start while the store is away took 272 cold calls a second and 1,700 repeats together, where 20 and 100 are allowed. Change: until the list was seen, a VM's part of both bounds is nothing. Pieces that were not made are told in one line for each call, stage and outcome, with their number.

--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -83,6 +83,9 @@
 	p.node.SetPeers(list)
 }
 
+// isListed tells whether the VM has seen the list of all VMs, with which it shares the bounds on cold targets and repeats.
+func (p *peers) isListed() bool { return p.mirror.Complete(radish.RecordVM) > 0 }
+
 // count returns how many entry VMs there are, this one included.
 func (p *peers) count() int {
 	p.mu.Lock()
--- a/internal/radishsite/share.go
+++ b/internal/radishsite/share.go
@@ -60,16 +60,21 @@
 	return coordinators
 }
 
-// retryBurst is the VM's part of the repeats that all VMs may save up.
-func (s *Server) retryBurst() float64 { return s.site.Load().RetrySlack / float64(s.peers.count()) }
+// retryBurst is the VM's part of the repeats that all VMs may save up; none while it does not know the others.
+func (s *Server) retryBurst() float64 {
+	if !s.peers.isListed() {
+		return 0
+	}
+	return s.site.Load().RetrySlack / float64(s.peers.count())
+}
 
 // coldMargin keeps the VMs' parts below the bound of all, for the time that a call is on its way.
 const coldMargin = 0.8
 
-// coldQuota is the VM's part of what the cold target bears in a second.
+// coldQuota is the VM's part of what the cold target bears in a second; none while it does not know the others.
 func (s *Server) coldQuota(t radish.Target) int {
 	cfg := s.beliefs.config.Load()
-	if cfg == nil || cfg.Services[t.Service] == nil {
+	if cfg == nil || cfg.Services[t.Service] == nil || !s.peers.isListed() {
 		return 0
 	}
 	site := s.site.Load()
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -188,6 +188,7 @@
 			// Results that this VM does not know of take up the room, and end within their lifetime.
 			s.blocked = now.Add(fullPause)
 		}
+		c.logNotMade(call)
 		for i, item := range call.items {
 			c.finishPiece(call, s, item, call.results[i], now)
 		}
@@ -254,6 +255,24 @@
 	c.requeue(call.service, call.items)
 }
 
+// logNotMade writes a line for each call and stage of which pieces were not made, and for each outcome.
+func (c *Coordinator) logNotMade(call *finished) {
+	type group struct {
+		id      string
+		stage   int
+		outcome radish.PieceOutcome
+	}
+	counts := make(map[group]int)
+	for i, item := range call.items {
+		if r := call.results[i]; r.Outcome != radish.PieceDone {
+			counts[group{item.Piece.CallID, item.Piece.Stage, r.Outcome}]++
+		}
+	}
+	for g, n := range counts {
+		c.Log.Info("pieces not made", "id", g.id, "target", call.target.Name, "service", call.service, "stage", g.stage, "outcome", string(g.outcome), "pieces", n)
+	}
+}
+
 func (c *Coordinator) finishPiece(call *finished, s *slot, item *radishbatch.Item, r radish.PieceResult, now time.Time) {
 	j := c.owners[item]
 	if r.Outcome == radish.PieceDone {
@@ -269,7 +288,6 @@
 		c.advance(j)
 		return
 	}
-	c.Log.Info("piece not made", "id", item.Piece.CallID, "target", call.target.Name, "service", call.service, "stage", item.Piece.Stage, "outcome", string(r.Outcome))
 	switch r.Outcome {
 	case radish.PieceNoRoom:
 		item.Tries--
