--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -27,7 +27,7 @@
 	retryFloor = 300 * time.Millisecond
 	// usualLoad is the part of a full call that a usual call holds.
 	usualLoad = 0.5
-	// admitMargin is the part of the expected time, and above, that must be left to be in time: half of the plans take longer.
+	// admitMargin is how many times its expected time a plan must have left to count as in time: half of them take longer.
 	admitMargin = 1.07
 	// fullEfficiency is the part of the targets' highest rate that is counted on.
 	fullEfficiency = 0.85
