--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -126,17 +126,17 @@
 	known int64
 }
 
-// bytes returns the size of the results that the call made, and whether the target had no room for others.
-func (f *finished) bytes() (made int64, isFull bool) {
+// bytes returns the size of the results that the call made, and whether the target was short of room for others.
+func (f *finished) bytes() (made int64, isShort bool) {
 	for i, r := range f.results {
 		switch r.Outcome {
 		case radish.PieceDone:
 			made += f.items[i].Bytes
 		case radish.PieceNoRoom:
-			isFull = true
+			isShort = true
 		}
 	}
-	return made, isFull
+	return made, isShort
 }
 
 // sendElsewhere queues the pieces of a slow call again: a piece may be made twice, and the first result counts.
