Let VMs that leave together serve the stages of their last calls

Change: a coordinator that has left takes plans again when no other VM can coordinate them. Before and after: TestLastVMCoordinatesUntilItsEnd fails before and passes after.

--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -287,6 +287,13 @@
 	}
 }
 
+// Stay takes plans again after Leave, as when the VM that they were handed to leaves as well.
+func (c *Coordinator) Stay() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = false
+}
+
 // Wake looks at the waiting pieces again, as when targets have changed.
 func (c *Coordinator) Wake() {
 	c.mu.Lock()
--- a/internal/radishstage/coordinator_test.go
+++ b/internal/radishstage/coordinator_test.go
@@ -456,3 +456,19 @@
 		}
 	})
 }
+
+// TestLastVMCoordinatesUntilItsEnd lets a VM leave, which hands its plans over, and then the VM that took them leave too,
+// as when the last two VMs are stopped together: the calls that the first one still has are served by itself.
+func TestLastVMCoordinatesUntilItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newCoordinator(2)
+		r := &Router{
+			Self: "self", Owners: func(int, int) []string { return []string{"self"} }, Shards: func() int { return 1 },
+			Local: func(int, int) *Coordinator { return c }, Log: hclog.NewNullLogger(),
+		}
+		c.Leave()
+		if _, err := r.Run(t.Context(), newPlan("call", 2*time.Second)); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/radishstage/router.go
+++ b/internal/radishstage/router.go
@@ -61,9 +61,12 @@
 		r.Log.Warn("coordinator did not answer", "peer", owner, "shard", shard, "id", p.CallID, "error", err.Error())
 		r.suspect(owner)
 	}
-	result, err := r.Local(shard, shards).Run(ctx, p)
+	local := r.Local(shard, shards)
+	result, err := local.Run(ctx, p)
 	if errors.Is(err, ErrMoved) {
-		return nil, &RefusedError{RetryAfter: retryFloor, Reason: "this VM leaves, and no other one coordinates the stages"}
+		r.Log.Warn("this VM leaves, but no other one coordinates the stages", "shard", shard, "id", p.CallID)
+		local.Stay()
+		return local.Run(ctx, p)
 	}
 	return result, err
 }
