Coordinate stages at the VMs with the most processor

Traced in a trial with debug lines: the coordinators, chosen among all VMs, run on VMs with 0.134 of a core and 10 Mbit/s, which are half used by it at the mean, while eight VMs have 0.8 of a core and 200 Mbit/s. Change: a VM's record tells how much processor it has; VMs with at least half of the most come first as coordinators.

--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -13,6 +13,7 @@
 
 	"radishramp.example/radishramp/internal/radishstage"
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishmirror"
 	"radishramp.example/radishramp/pkg/radishpeer"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
@@ -146,7 +147,17 @@
 
 // owners returns the VMs in reach that coordinate the shard, the first choice first.
 func (p *peers) owners(shard, shards int) []string {
-	return radish.RendezvousOwners(p.reachable(), fmt.Sprintf("stages/%d/%d", shard, shards), ownersKept)
+	names := p.reachable()
+	cores := make(map[string]float64, len(names))
+	p.mu.Lock()
+	for _, name := range names {
+		cores[name] = p.known[name].Cores
+		if name == p.self.Name {
+			cores[name] = p.self.Cores
+		}
+	}
+	p.mu.Unlock()
+	return radishfleet.Coordinators(cores, fmt.Sprintf("stages/%d/%d", shard, shards), ownersKept)
 }
 
 const (
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -87,6 +87,7 @@
 	s.beliefs = &beliefs{decoder: s.Decoder, mirror: &s.mirror, fleet: s.fleet, log: s.Log.Named("belief"), onChange: s.wakeCoordinators}
 	self := radish.VMRecord{
 		Name: s.Site.VM, Address: s.Site.PeerAddress, DataCentre: s.Site.DataCentre, Incarnation: 1 + rand.Int64N(math.MaxInt64),
+		Cores: s.Site.Cores,
 	}
 	s.peers = &peers{
 		self: self, mirror: &s.mirror, beliefs: s.beliefs, seeds: func() []string { return s.site.Load().Seeds }, isClosed: s.leaving.Load, log: s.Log.Named("peer"),
@@ -152,7 +153,7 @@
 	s.addLoops(background, &group)
 	group.Add(func() error { return s.waitAndLeave(ctx, background, caller) }, func(error) { stop() })
 	s.Log.Info("started", "caller", s.Site.CallerAddress, "ready", s.Site.ReadyAddress, "peer", s.Site.PeerAddress, "store", s.Site.StoreAddress,
-		"memory_mb", s.Site.MemoryMB, "incarnation", s.peers.self.Incarnation)
+		"memory_mb", s.Site.MemoryMB, "cores", s.Site.Cores, "incarnation", s.peers.self.Incarnation)
 	err := group.Run()
 	s.Log.Info("stopped", "error", errorText(err))
 	if errors.Is(err, context.Canceled) {
--- a/pkg/radish/record.go
+++ b/pkg/radish/record.go
@@ -53,4 +53,6 @@
 	DataCentre string `json:"data_centre"`
 	// Incarnation tells two starts of the VM apart; it is random, since the time of day may jump.
 	Incarnation int64 `json:"incarnation"`
+	// Cores is how much of a processor the VM may use; 0 when it is not known.
+	Cores float64 `json:"cores,omitempty"`
 }
--- a/pkg/radish/site.go
+++ b/pkg/radish/site.go
@@ -15,6 +15,8 @@
 	DataCentres  []string
 	StoreAddress string
 	MemoryMB     int
+	// Cores is how much of a processor the VM may use; 0 when it is not known.
+	Cores float64
 	// ShutdownGrace is the time between the order to stop and the kill.
 	ShutdownGrace time.Duration
 	// RetryShare and RetrySlack bound the repeats of all VMs in each RetryWindow.
