Size shards of stage targets by the processor of their coordinators

Change: the mean of the targets a shard grows with the processor of the largest VM (50 a core, 7 at least; the measured coordinator used 0.065 of a core for half of 50 stage targets). Test: TestLargeCoordinatorsHaveLargeShards.

--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -118,6 +118,17 @@
 	return names
 }
 
+// mostCores returns how much of a processor the largest entry VM has, this one included.
+func (p *peers) mostCores() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := p.self.Cores
+	for _, vm := range p.known {
+		most = max(most, vm.Cores)
+	}
+	return most
+}
+
 // reachable returns the VMs that can be given work: the linked ones that do not leave, and this one unless it leaves.
 func (p *peers) reachable() []string {
 	linked := p.node.Linked()
--- a/internal/radishsite/share.go
+++ b/internal/radishsite/share.go
@@ -41,7 +41,7 @@
 			services = append(services, name)
 		}
 	}
-	return s.fleet.Shards(services)
+	return s.fleet.Shards(services, s.peers.mostCores())
 }
 
 func (s *Server) wakeCoordinators() {
--- a/pkg/radishfleet/shard.go
+++ b/pkg/radishfleet/shard.go
@@ -12,14 +12,17 @@
 )
 
 const (
-	// targetsPerShard is how many targets of a service one coordinator has in the mean, leastPerShard of the smallest
-	// service. The mean over all services changes little when a part of one crashes.
+	// targetsPerShard is how many targets of a service one coordinator has in the mean at least, targetsPerCore how many it
+	// can have for a whole core, leastPerShard how many of the smallest service. The mean over all services changes little
+	// when a part of one crashes.
 	targetsPerShard = 7
+	targetsPerCore  = 50
 	leastPerShard   = 2
 )
 
-// Shards returns into how many shards the targets of the services are divided, at least 1.
-func (f *Fleet) Shards(services []string) int {
+// Shards returns into how many shards the targets of the services are divided, at least 1, when coordinators have so much of a
+// processor. Few large shards fill their calls better than many small ones.
+func (f *Fleet) Shards(services []string, cores float64) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(services) == 0 {
@@ -31,7 +34,8 @@
 		total += n
 		least = min(least, n)
 	}
-	return max(1, min(total/len(services)/targetsPerShard, least/leastPerShard))
+	perShard := max(targetsPerShard, int(targetsPerCore*cores))
+	return max(1, min(total/len(services)/perShard, least/leastPerShard))
 }
 
 // division tells, by target, to which shard of a service it belongs.
--- a/pkg/radishfleet/shard_test.go
+++ b/pkg/radishfleet/shard_test.go
@@ -74,12 +74,12 @@
 		}
 	}
 	names := []string{"enc", "rank", "cast"}
-	before := f.Shards(names)
+	before := f.Shards(names, 0)
 	for service, n := range services {
 		for i := range n / 3 {
 			f.Remove(fmt.Sprintf("%s-%d", service, i))
 		}
-		if got := f.Shards(names); got != before {
+		if got := f.Shards(names, 0); got != before {
 			t.Errorf("%d shards after a third of %s crashed, %d before", got, service, before)
 		}
 		for i := range n / 3 {
@@ -88,7 +88,23 @@
 			f.Set(s, start)
 		}
 	}
-	if got := (&Fleet{}).Shards(names); got != 1 {
+	if got := (&Fleet{}).Shards(names, 0); got != 1 {
 		t.Errorf("%d shards without targets, want 1", got)
 	}
 }
+
+// TestLargeCoordinatorsHaveLargeShards divides 18 targets of each service among coordinators of several sizes.
+func TestLargeCoordinatorsHaveLargeShards(t *testing.T) {
+	f := &Fleet{DataCentre: "a"}
+	for i := range 18 {
+		f.Set(target(fmt.Sprint("i-", i), "a"), start)
+	}
+	for _, test := range []struct {
+		cores float64
+		want  int
+	}{{0, 2}, {0.134, 2}, {0.272, 1}, {0.8, 1}} {
+		if got := f.Shards([]string{"s"}, test.cores); got != test.want {
+			t.Errorf("with %v cores: %d shards, want %d", test.cores, got, test.want)
+		}
+	}
+}
