Try a cut data centre again by one target, and learn nothing from calls that were given up

Reading the same code: a caller that leaves during an attempt counted as an answer of its target, which ended the cut for the VM and wiped out the failures of a target that takes calls and never answers. Ruled out: pieces whose inputs are gone (200 a second at that coordinator) are late calls that wait for 4 s behind those in time. Change: after a cut one target a service is tried, until it is reached or fails; an attempt that its caller left, or that had less time than the aim, says nothing of its target; one whose time passed without an answer is a failure. Tests: TestReplayCutDataCentre now wants one probe where all targets came back at once, which is stricter; TestProbeThatIsGoneIsReplaced, TestGivenUpCallsSayNothing and TestMuteTargetIsLeft fail before.

--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -151,6 +151,7 @@
 	if e.service.IsEngine {
 		send.Priority = min(maxTargetPriority, e.route.PriorityOf(e.team))
 	}
+	e.given = send.Left
 	inputBytes := e.inputBytes()
 	answer, err := e.relay.Forwarder.Send(ctx, send)
 	v, outcome := e.judge(ctx, t, answer, err)
@@ -211,12 +212,12 @@
 	}
 	if errors.Is(err, radish.ErrNotSent) {
 		e.tried[t.Name] = true
-		return verdictNotRun, radishfleet.Outcome{Failed: ctx.Err() == nil, Unreached: ctx.Err() == nil}
+		return verdictNotRun, e.unanswered(ctx, true)
 	}
 	if err != nil {
 		e.sends++
 		e.tried[t.Name] = true
-		return verdictRepeat, radishfleet.Outcome{Failed: ctx.Err() == nil}
+		return verdictRepeat, e.unanswered(ctx, false)
 	}
 	defer a.Body.Close()
 	switch {
@@ -234,11 +235,24 @@
 	return e.passWhole(ctx, a)
 }
 
+// unanswered tells what an attempt without a whole answer says of its target: nothing when the caller left or gave the target
+// less time than the aim.
+func (e *exchange) unanswered(ctx context.Context, unreached bool) radishfleet.Outcome {
+	switch {
+	case ctx.Err() == nil:
+		return radishfleet.Outcome{Failed: true, Unreached: unreached}
+	case isGone(ctx) || e.given < e.route.Aim:
+		return radishfleet.Outcome{Unknown: true}
+	default:
+		return radishfleet.Outcome{Failed: true}
+	}
+}
+
 // passWhole passes an answer on that is no stream.
 func (e *exchange) passWhole(ctx context.Context, a *radish.TargetAnswer) (verdict, radishfleet.Outcome) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBuffered))
 	if err != nil {
-		return verdictRepeat, radishfleet.Outcome{Failed: ctx.Err() == nil}
+		return verdictRepeat, e.unanswered(ctx, false)
 	}
 	isError := a.Status >= 500
 	if e.begun {
@@ -288,7 +302,7 @@
 		}
 		if err != nil {
 			e.breakOff(outcomeCut)
-			return verdictDone, radishfleet.Outcome{Failed: ctx.Err() == nil}
+			return verdictDone, e.unanswered(ctx, false)
 		}
 	}
 }
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -86,8 +86,9 @@
 	near    string
 	weights map[string]float64
 	tried   map[string]bool
-	// sends counts the attempts that may have run.
+	// sends counts the attempts that may have run, given is the time that the newest one was given.
 	sends int
+	given time.Duration
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	begun     bool
--- a/internal/radishrelay/relay_test.go
+++ b/internal/radishrelay/relay_test.go
@@ -377,3 +377,39 @@
 }
 
 func (stuckStages) Free(context.Context, string, []string) {}
+
+// TestMuteTargetIsLeft has targets take calls and never answer: calls whose time passes there count as failures, and those
+// whose callers leave, or that gave them next to no time, do not.
+func TestMuteTargetIsLeft(t *testing.T) {
+	tests := []struct {
+		name       string
+		wait, left time.Duration
+		isOut      bool
+	}{
+		{"time passes", time.Second, 0, true},
+		{"caller leaves", time.Second, 500 * time.Millisecond, false},
+		{"next to no time", 100 * time.Millisecond, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, f := newRelay(&radishroute.Route{Kind: radishroute.KindIdempotent, MaxAttempts: 1, Aim: 300 * time.Millisecond}, hangs)
+				all := len(r.Fleet.Usable("s", time.Now()))
+				for range 2 * all {
+					ctx, cancel := context.WithCancel(t.Context())
+					if test.left > 0 {
+						time.AfterFunc(test.left, cancel)
+					}
+					call := newCall()
+					call.Wait = test.wait
+					handle(ctx, r, call)
+					cancel()
+				}
+				usable := len(r.Fleet.Usable("s", time.Now()))
+				if isOut := usable < all; isOut != test.isOut {
+					t.Errorf("%d targets are usable after %d calls", usable, len(f.sends))
+				}
+			})
+		})
+	}
+}
--- a/internal/radishrelay/stream.go
+++ b/internal/radishrelay/stream.go
@@ -67,7 +67,7 @@
 
 // breakStream decides what becomes of a stream that its target broke off.
 func (e *exchange) breakStream(ctx context.Context) (verdict, radishfleet.Outcome) {
-	outcome := radishfleet.Outcome{Failed: ctx.Err() == nil}
+	outcome := e.unanswered(ctx, false)
 	if !e.begun || e.route.IsResumable && e.lastEvent != "" {
 		return verdictRepeat, outcome
 	}
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -94,6 +94,7 @@
 		return
 	}
 	delete(f.targets, name)
+	f.dropProbe(s.target)
 	service := s.target.Service
 	delete(f.divisions, service)
 	f.byService[service] = slices.DeleteFunc(f.byService[service], func(other *state) bool { return other == s })
@@ -172,7 +173,7 @@
 
 // isOut tells whether the target failed of late or lies in a data centre that is out of reach.
 func (f *Fleet) isOut(s *state, now time.Time) bool {
-	return now.Before(s.ejectedUntil) || f.isCut(s.target.DataCentre, now)
+	return now.Before(s.ejectedUntil) || f.isCut(s.target, now)
 }
 
 // warm returns the targets that may take the call; those out of use are offered when there is no other.
--- a/pkg/radishfleet/fleet_test.go
+++ b/pkg/radishfleet/fleet_test.go
@@ -216,8 +216,13 @@
 		t.Errorf("usable during the cut: %v", usable)
 	}
 	later := after(cutFirst + time.Millisecond)
-	if n := len(f.Usable("s", later)); n != 4 {
-		t.Errorf("%d targets are usable when the data centre is tried again, want 4", n)
+	usable := f.Usable("s", later)
+	if len(usable) != 2 {
+		t.Fatalf("usable when the data centre is tried again: %v, want a1 and one other", usable)
+	}
+	f.Report(usable[0].Name, Outcome{Unknown: true}, later)
+	if n := len(f.Usable("s", later)); n != 2 {
+		t.Errorf("%d targets are usable after a caller left the one that was tried, want 2", n)
 	}
 	f.Report("b3", Outcome{Failed: true, Unreached: true}, later)
 	if n := len(f.Usable("s", later)); n != 1 {
@@ -229,6 +234,38 @@
 	}
 }
 
+// TestProbeThatIsGoneIsReplaced removes the target by which a data centre is tried again, and has the next one fail.
+func TestProbeThatIsGoneIsReplaced(t *testing.T) {
+	f := newFleet(target("b1", "b"), target("b2", "b"), target("b3", "b"), target("a1", "a"))
+	f.Report("b1", Outcome{Failed: true, Unreached: true}, start)
+	f.Report("b2", Outcome{Failed: true, Unreached: true}, start)
+	later := after(cutFirst + time.Millisecond)
+	probe := f.Usable("s", later)[0].Name
+	f.Remove(probe)
+	usable := f.Usable("s", later)
+	if len(usable) != 2 || usable[0].Name == probe {
+		t.Fatalf("usable after %s is gone: %v", probe, usable)
+	}
+	for range ejectAfter {
+		f.Report(usable[0].Name, Outcome{Failed: true}, later)
+	}
+	if next := f.Usable("s", later); len(next) != 2 || next[0].Name == usable[0].Name {
+		t.Errorf("usable after %s failed: %v", usable[0].Name, next)
+	}
+}
+
+// TestGivenUpCallsSayNothing has callers leave while a target hangs: its failures still count.
+func TestGivenUpCallsSayNothing(t *testing.T) {
+	f := newFleet(target("t1", "a"), target("t2", "a"))
+	for range ejectAfter {
+		f.Report("t1", Outcome{Failed: true}, start)
+		f.Report("t1", Outcome{Unknown: true}, start)
+	}
+	if usable := f.Usable("s", start); len(usable) != 1 || usable[0].Name != "t2" {
+		t.Errorf("usable: %v", usable)
+	}
+}
+
 func TestNewStartForgetsFailures(t *testing.T) {
 	f := newFleet(target("t1", "a"), target("t2", "b"))
 	for range 2 {
--- a/pkg/radishfleet/outcome.go
+++ b/pkg/radishfleet/outcome.go
@@ -13,7 +13,9 @@
 	Failed    bool
 	Rejected  bool
 	Unreached bool
-	Load      radish.TargetLoad
+	// Unknown tells that the call was given up for a reason that says nothing of the target.
+	Unknown bool
+	Load    radish.TargetLoad
 }
 
 // Done ends a call that Pick counted.
@@ -29,11 +31,13 @@
 	if o.Load.Known {
 		s.load, s.loadAt = o.Load, now
 	}
-	if o.Rejected {
+	switch {
+	case o.Unknown:
+	case o.Rejected:
 		s.reject(now)
-		return
+	default:
+		s.count(o.Failed, now)
 	}
-	s.count(o.Failed, now)
 }
 
 // reject counts a target that turned a call away as full for a while.
@@ -69,6 +73,8 @@
 	defer f.mu.Unlock()
 	if s := f.targets[name]; s != nil {
 		f.noteReach(s.target, o, now)
-		s.count(o.Failed, now)
+		if !o.Unknown {
+			s.count(o.Failed, now)
+		}
 	}
 }
