--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"radishramp.example/radishramp/internal/radishlog"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishroute"
@@ -161,7 +162,7 @@
 	e.relay.Log.Info("attempt ended", "id", e.call.ID, "target", t.Name, "data_centre", t.DataCentre, "verdict", verdictName(v, outcome),
 		"status", statusOf(answer), "took_ms", time.Since(began).Milliseconds(), "left_ms", send.Left.Milliseconds(),
 		"record_age_ms", known.RecordAge.Milliseconds(), "busy", known.Busy, "failure_share", known.FailureShare, "cold", known.IsCold,
-		"usable", known.Usable, "targets", known.Targets, "resume_after", send.ResumeAfter, "input_bytes", inputBytes, "error", errorText(err))
+		"usable", known.Usable, "targets", known.Targets, "resume_after", send.ResumeAfter, "input_bytes", inputBytes, "error", radishlog.ErrorText(err))
 	return v
 }
 
--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"radishramp.example/radishramp/internal/radishlog"
 	"radishramp.example/radishramp/internal/radishstage"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishbatch"
@@ -74,7 +75,7 @@
 		result, err = e.relay.Stages.Run(ctx, plan)
 	}
 	e.relay.Log.Info("stages ended", "id", e.call.ID, "route", e.route.Name, "pieces", e.call.Pieces, "near", plan.Near,
-		"due_ms", plan.Due.Sub(began).Milliseconds(), "took_ms", time.Since(began).Milliseconds(), "error", errorText(err))
+		"due_ms", plan.Due.Sub(began).Milliseconds(), "took_ms", time.Since(began).Milliseconds(), "error", radishlog.ErrorText(err))
 	if err != nil {
 		return err
 	}
@@ -237,10 +238,3 @@
 
 // isGone tells whether the caller has left, rather than that its time is up.
 func isGone(ctx context.Context) bool { return errors.Is(context.Cause(ctx), context.Canceled) }
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -18,6 +18,7 @@
 
 	"radishramp.example/radishramp/internal/radishdial"
 	"radishramp.example/radishramp/internal/radishgroup"
+	"radishramp.example/radishramp/internal/radishlog"
 	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/internal/radishrelay"
 	"radishramp.example/radishramp/internal/radishstage"
@@ -155,20 +156,13 @@
 	s.Log.Info("started", "caller", s.Site.CallerAddress, "ready", s.Site.ReadyAddress, "peer", s.Site.PeerAddress, "store", s.Site.StoreAddress,
 		"memory_mb", s.Site.MemoryMB, "cores", s.Site.Cores, "incarnation", s.peers.self.Incarnation)
 	err := group.Run()
-	s.Log.Info("stopped", "error", errorText(err))
+	s.Log.Info("stopped", "error", radishlog.ErrorText(err))
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 func (s *Server) newFrontEnd() http.Handler { return s.FrontEnd(s.relay, s.maxBody, s.leaving.Load) }
 
 func (s *Server) maxBody() int64 {
@@ -246,6 +240,6 @@
 	grace, cancel := context.WithDeadline(background, began.Add(s.Site.ShutdownGrace-stopReserve))
 	defer cancel()
 	err := caller.Shutdown(grace)
-	s.Log.Info("left", "in_flight", s.inFlight.Load(), "took_ms", time.Since(began).Milliseconds(), "error", errorText(err))
+	s.Log.Info("left", "in_flight", s.inFlight.Load(), "took_ms", time.Since(began).Milliseconds(), "error", radishlog.ErrorText(err))
 	return err
 }
