Let calls in by when they are due, and keep the room of targets in radishbatch

Change: admission counts what is due no more than a second later (calls, rooms and data centres keep the order of dues only roughly), and refuses what would make others late that are in time (radishbatch.Demand). The time to come back is that of the whole backlog. Also: the room of a target moves from radishstage to radishbatch with a replay of its own; coordinator.go is split.

--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"radishramp.example/radishramp/internal/radishlog"
 	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishbatch"
@@ -21,16 +22,6 @@
 	recheckInterval = 50 * time.Millisecond
 	// maxTries is how many calls a piece may be part of.
 	maxTries = 4
-	// lateWait is the longest time in queues for which a call is let in that cannot be in time.
-	lateWait = 300 * time.Millisecond
-	// retryFloor is the least time after which a refused call may come back.
-	retryFloor = 300 * time.Millisecond
-	// usualLoad is the part of a full call that a usual call holds.
-	usualLoad = 0.5
-	// admitMargin is how many times its expected time a plan must have left to count as in time: half of them take longer.
-	admitMargin = 1.07
-	// fullEfficiency is the part of the targets' highest rate that is counted on.
-	fullEfficiency = 0.85
 )
 
 // Coordinator runs the stages of calls at the targets of one shard in shared calls; set the exported fields before use.
@@ -114,102 +105,6 @@
 	c.holds = make(map[string]time.Duration)
 }
 
-// expect returns about how long the plan takes behind what was let in before, or why it is refused. A plan that cannot
-// be in time is let in only while little waits, so that it does not make others late.
-func (c *Coordinator) expect(p *Plan, now time.Time) (time.Duration, error) {
-	lines, needs := c.lines(p, now), p.needs()
-	took, ok := radishbatch.Finish(lines, needs)
-	if !ok {
-		return 0, c.refused(p, &RefusedError{RetryAfter: time.Second, Reason: "a stage has no target"}, 0)
-	}
-	if !now.Add(time.Duration(admitMargin * float64(took))).After(p.Due) {
-		return took, nil
-	}
-	alone, _ := radishbatch.Finish(radishbatch.Emptied(lines), needs)
-	left := p.Deadline.Sub(now)
-	if took-alone <= lateWait && took < left {
-		return took, nil
-	}
-	reason := fmt.Sprintf("stages need %v, %v are left to be in time", took.Round(time.Millisecond), p.Due.Sub(now).Round(time.Millisecond))
-	return 0, c.refused(p, &RefusedError{RetryAfter: max(retryFloor, took-alone), Reason: reason}, took)
-}
-
-func (c *Coordinator) refused(p *Plan, err *RefusedError, took time.Duration) error {
-	waiting := make(map[string]int, len(c.queues))
-	for service, q := range c.queues {
-		waiting[service] = q.Len()
-	}
-	c.Metrics.Plan("refused")
-	c.Log.Info("plan refused", "id", p.CallID, "reason", err.Reason, "expected_ms", took.Milliseconds(), "jobs", len(c.jobs), "waiting", waiting,
-		"retry_after_ms", err.RetryAfter.Milliseconds())
-	return err
-}
-
-// lines describes what lies before the targets of the plan's services.
-func (c *Coordinator) lines(p *Plan, now time.Time) map[string]radishbatch.Line {
-	lines := make(map[string]radishbatch.Line)
-	coming := c.coming()
-	for _, s := range p.Stages {
-		if _, ok := lines[s.Service]; ok || s.Pieces == 0 {
-			continue
-		}
-		batch := c.Batch(s.Service)
-		if batch == nil {
-			continue
-		}
-		line := radishbatch.Line{Coming: coming[s.Service], CallTime: usualTime(batch)}
-		if q := c.queues[s.Service]; q != nil {
-			line.Waiting = q.Len()
-		}
-		c.addTargets(&line, s, batch, now)
-		lines[s.Service] = line
-	}
-	return lines
-}
-
-func (c *Coordinator) addTargets(line *radishbatch.Line, s Stage, batch *radishroute.Batch, now time.Time) {
-	full := batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
-	byTime := float64(batch.MaxPieces) / full.Seconds()
-	for _, t := range c.usable(s.Service, now) {
-		slot := c.slotOf(t)
-		line.Targets++
-		if slot.calls >= batch.Slots {
-			line.Busy++
-		}
-		perSecond := byTime
-		if s.ResultBytes > 0 {
-			results := slot.roomPart(batch, now) * float64(batch.RoomBytes) / float64(s.ResultBytes)
-			perSecond = min(perSecond, results/(full+c.hold(s.Service)).Seconds())
-		}
-		line.PerSecond += fullEfficiency * perSecond / max(1, slot.slowness)
-	}
-}
-
-// coming counts, by service, the pieces that the jobs let in have not queued yet.
-func (c *Coordinator) coming() map[string]int {
-	coming := make(map[string]int)
-	for j := range c.jobs {
-		for i := range j.stages {
-			if !j.stages[i].queued {
-				coming[j.plan.Stages[i].Service] += j.plan.Stages[i].Pieces
-			}
-		}
-	}
-	return coming
-}
-
-func usualTime(batch *radishroute.Batch) time.Duration {
-	return batch.CallTime + time.Duration(usualLoad*float64(batch.MaxPieces)*float64(batch.PieceTime))
-}
-
-// usualTime is about how long a stage of the service takes without a queue.
-func (c *Coordinator) usualTime(service string) time.Duration {
-	if batch := c.Batch(service); batch != nil {
-		return usualTime(batch)
-	}
-	return 0
-}
-
 // advance queues the stages of the job whose inputs are there, and ends it when all are made.
 func (c *Coordinator) advance(j *job) {
 	if j.isDone() {
@@ -256,7 +151,7 @@
 	}
 	c.Metrics.Plan(outcomeOf(err))
 	c.Log.Info("plan ended", "id", j.plan.CallID, "took_ms", time.Since(j.began).Milliseconds(), "expected_ms", j.expected.Milliseconds(),
-		"due_ms", j.plan.Due.Sub(j.began).Milliseconds(), "jobs", len(c.jobs), "error", errorText(err))
+		"due_ms", j.plan.Due.Sub(j.began).Milliseconds(), "jobs", len(c.jobs), "error", radishlog.ErrorText(err))
 	close(j.done)
 }
 
@@ -329,12 +224,12 @@
 	idle := c.idle(usable, batch, now)
 	for n, t := range idle {
 		call := radishbatch.Call{
-			Target: t.Name, DataCentre: t.DataCentre, MaxPieces: batch.MaxPieces, RoomBytes: c.slotOf(t).room(batch, now),
+			Target: t.Name, DataCentre: t.DataCentre, MaxPieces: batch.MaxPieces, RoomBytes: c.slotOf(t).room.Free(batch.RoomBytes, now),
 			CallTime: batch.CallTime, PieceTime: batch.PieceTime, IdleTargets: len(idle) - n, UsableTargets: len(usable), Places: places,
 		}
 		if items := q.Take(call, now); len(items) > 0 {
 			c.start(t, service, batch, items, now)
-			if c.isAlone(now) && hasRoomToSpare(call, items, batch) {
+			if c.isAlone(now) && call.LeavesRoom(items, batch.RoomBytes) {
 				c.freeInputsSoon(items)
 			}
 		}
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -42,42 +42,17 @@
 
 func newJob(p *Plan, timeOf func(service string) time.Duration) *job {
 	j := &job{
-		plan: p, place: p.Near, stages: make([]stageState, len(p.Stages)), dueOf: make([]time.Time, len(p.Stages)),
+		plan: p, place: p.Near, stages: make([]stageState, len(p.Stages)), dueOf: p.dues(timeOf),
 		items: make(map[*radishbatch.Item]bool), done: make(chan struct{}),
 	}
 	for i, s := range p.Stages {
 		j.stages[i] = stageState{left: s.Pieces, handles: make([]string, s.Pieces), running: make(map[int]bool)}
 	}
-	for i := len(p.Stages) - 1; i >= 0; i-- {
-		j.dueOf[i] = p.Due
-		for k := i + 1; k < len(p.Stages); k++ {
-			if j.needs(k, i) {
-				j.dueOf[i] = earlier(j.dueOf[i], j.dueOf[k].Add(-timeOf(p.Stages[k].Service)))
-			}
-		}
-	}
 	return j
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // needs tells whether a stage with pieces needs the results of another one.
-func (j *job) needs(stage, before int) bool {
-	if j.plan.Stages[stage].Pieces == 0 {
-		return false
-	}
-	for _, b := range j.plan.Stages[stage].After {
-		if b == before {
-			return true
-		}
-	}
-	return false
-}
+func (j *job) needs(stage, before int) bool { return j.plan.needsResults(stage, before) }
 
 // ready returns the stages that can be queued now.
 func (j *job) ready() []int {
--- a/internal/radishstage/plan.go
+++ b/internal/radishstage/plan.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"radishramp.example/radishramp/pkg/radishbatch"
@@ -52,14 +53,40 @@
 // Error returns the reason.
 func (e *RefusedError) Error() string { return "stages are full: " + e.Reason }
 
-func (p *Plan) needs() []radishbatch.Need {
+func (p *Plan) needs(dues []time.Time, now time.Time) []radishbatch.Need {
 	needs := make([]radishbatch.Need, len(p.Stages))
 	for i, s := range p.Stages {
-		needs[i] = radishbatch.Need{Service: s.Service, After: s.After, Pieces: s.Pieces}
+		needs[i] = radishbatch.Need{Service: s.Service, After: s.After, Pieces: s.Pieces, Due: max(0, dues[i].Sub(now))}
 	}
 	return needs
 }
 
+// dues returns when the results of each stage are needed for the call to be in time.
+func (p *Plan) dues(timeOf func(service string) time.Duration) []time.Time {
+	dues := make([]time.Time, len(p.Stages))
+	for i := len(p.Stages) - 1; i >= 0; i-- {
+		dues[i] = p.Due
+		for k := i + 1; k < len(p.Stages); k++ {
+			if p.needsResults(k, i) {
+				dues[i] = earlier(dues[i], dues[k].Add(-timeOf(p.Stages[k].Service)))
+			}
+		}
+	}
+	return dues
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// needsResults tells whether a stage with pieces needs the results of another one.
+func (p *Plan) needsResults(stage, before int) bool {
+	return p.Stages[stage].Pieces > 0 && slices.Contains(p.Stages[stage].After, before)
+}
+
 // check reports a plan whose stages do not come in order.
 func (p *Plan) check() error {
 	for i, s := range p.Stages {
--- a/internal/radishstage/result.go
+++ b/internal/radishstage/result.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"math"
 	"strings"
 	"time"
 
 	"radishramp.example/radishramp/pkg/radishbatch"
-	"radishramp.example/radishramp/pkg/radishroute"
 )
 
 const (
@@ -15,19 +13,11 @@
 	freeDelay = 20 * time.Millisecond
 	// freeTimeout bounds the call that gives results up.
 	freeTimeout = time.Second
-	// roomShare is the part of a target's room that is planned for, since the sizes of results vary.
-	roomShare = 0.92
-	// tightShare is the part of the room that is taken from which inputs are given up as soon as they were read.
-	tightShare = 0.25
-	// spareShare is the part of a target's room that a call must leave so that all of its results fit for sure.
-	spareShare = 0.05
 	// rivalFactor and rivalSlack are how much longer than expected a call takes that waited for another VM's call, and
 	// rivalMemory is how long such a sign counts.
 	rivalFactor = 1.2
 	rivalSlack  = 60 * time.Millisecond
 	rivalMemory = 2 * time.Second
-	// othersHalfLife is in what time unknown results are taken to give up half of their room.
-	othersHalfLife = time.Second
 	// readTime is how long after a call's begin its inputs have been read.
 	readTime = 80 * time.Millisecond
 	// usualHold is about how long a result takes up room, until any was seen; holdWeight is the weight of the newest one.
@@ -35,63 +25,6 @@
 	holdWeight = 0.02
 )
 
-// held is a result that takes up room at its maker.
-type held struct {
-	bytes  int64
-	madeAt time.Time
-	until  time.Time
-}
-
-// room is how much of the target's room for results is free, as far as is known here.
-func (s *slot) room(batch *radishroute.Batch, now time.Time) int64 {
-	return int64(roomShare*float64(batch.RoomBytes)) - s.known(now) - int64(s.othersNow(now))
-}
-
-// known is how much of the target's room is taken by results that are known here.
-func (s *slot) known(now time.Time) int64 {
-	taken := int64(0)
-	for handle, h := range s.results {
-		if now.After(h.until) {
-			delete(s.results, handle)
-			continue
-		}
-		taken += h.bytes
-	}
-	return taken
-}
-
-// othersNow is about how much room unknown results take up now; it shrinks, so that a target is tried again.
-func (s *slot) othersNow(now time.Time) float64 {
-	return s.others * math.Exp2(-now.Sub(s.othersAt).Seconds()/othersHalfLife.Seconds())
-}
-
-// roomPart is the part of the target's room that unknown results leave.
-func (s *slot) roomPart(batch *radishroute.Batch, now time.Time) float64 {
-	if batch.RoomBytes <= 0 {
-		return 1
-	}
-	return max(0, 1-s.othersNow(now)/float64(batch.RoomBytes))
-}
-
-// learnRoom takes in that a call left so many bytes for unknown results: just them when the target was short of room, and
-// at most them when it was not.
-func (s *slot) learnRoom(left int64, isShort bool, now time.Time) {
-	others := float64(max(0, left))
-	if !isShort {
-		others = min(others, s.othersNow(now))
-	}
-	s.others, s.othersAt = others, now
-}
-
-// hasRoomToSpare tells whether all results of the call will fit, so that its inputs are not needed for another one.
-func hasRoomToSpare(call radishbatch.Call, items []*radishbatch.Item, batch *radishroute.Batch) bool {
-	left := call.RoomBytes
-	for _, item := range items {
-		left -= item.Bytes
-	}
-	return float64(left) > spareShare*float64(batch.RoomBytes)
-}
-
 // noteRivals learns from a call whether another VM's coordinator uses the targets as well, as during a cut: its calls and
 // results are seen by the time and the room that they take.
 func (c *Coordinator) noteRivals(call *finished, isShort bool, now time.Time) {
@@ -142,7 +75,7 @@
 	for _, handle := range handles {
 		address, _, _ := strings.Cut(handle, "/")
 		s := c.slots[address]
-		if s != nil && float64(s.room(batch, time.Now())) < (1-tightShare)*float64(batch.RoomBytes) {
+		if s != nil && s.room.IsTight(batch.RoomBytes, time.Now()) {
 			return true
 		}
 	}
@@ -182,10 +115,9 @@
 	}
 	now := time.Now()
 	for _, handle := range handles {
-		if h, ok := s.results[handle]; ok {
-			c.countHold(s.target.Service, now.Sub(h.madeAt))
+		if held, ok := s.room.Remove(handle, now); ok {
+			c.countHold(s.target.Service, held)
 		}
-		delete(s.results, handle)
 	}
 	c.dispatch(now)
 }
--- a/internal/radishstage/slot.go
+++ b/internal/radishstage/slot.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"radishramp.example/radishramp/internal/radishlog"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishbatch"
 	"radishramp.example/radishramp/pkg/radishfleet"
@@ -35,11 +36,7 @@
 	target  radish.Target
 	calls   int
 	blocked time.Time
-	results map[string]held
-	// others is about how many bytes of the room were taken as of othersAt by results that are not known here: those of
-	// another coordinator, or of calls whose answer was lost.
-	others   float64
-	othersAt time.Time
+	room    radishbatch.Room
 	// slowness is the moving average of the time of calls in parts of the expected time.
 	slowness float64
 	freeing  []string
@@ -49,7 +46,7 @@
 func (c *Coordinator) slotOf(t radish.Target) *slot {
 	s := c.slots[t.Address]
 	if s == nil || s.target.Name != t.Name || s.target.Started != t.Started {
-		s = &slot{target: t, results: make(map[string]held), slowness: 1}
+		s = &slot{target: t, slowness: 1}
 		c.slots[t.Address] = s
 	}
 	return s
@@ -90,7 +87,7 @@
 func (c *Coordinator) start(t radish.Target, service string, batch *radishroute.Batch, items []*radishbatch.Item, now time.Time) {
 	c.slotOf(t).calls++
 	expected := batch.CallTime + time.Duration(len(items))*batch.PieceTime
-	known := c.slotOf(t).known(now)
+	known := c.slotOf(t).room.Known(now)
 	pieces := make([]radish.Piece, len(items))
 	for i, item := range items {
 		if j := c.owners[item]; j != nil && item.IsHeavy {
@@ -175,7 +172,7 @@
 	s.calls = max(0, s.calls-1)
 	c.Metrics.StageCall(call.service, call.took, len(call.items), call.err == nil)
 	c.Log.Debug("stage call ended", "target", call.target.Name, "service", call.service, "pieces", len(call.items),
-		"took_ms", call.took.Milliseconds(), "expected_ms", call.expected.Milliseconds(), "waiting", c.queueOf(call.service).Len(), "error", errorText(call.err))
+		"took_ms", call.took.Milliseconds(), "expected_ms", call.expected.Milliseconds(), "waiting", c.queueOf(call.service).Len(), "error", radishlog.ErrorText(call.err))
 	if call.err != nil {
 		c.finishFailed(call, s, now)
 	} else {
@@ -183,7 +180,7 @@
 		c.Fleet.Report(call.target.Name, radishfleet.Outcome{}, now)
 		made, isShort := call.bytes()
 		c.noteRivals(call, isShort, now)
-		s.learnRoom(call.batch.RoomBytes-call.known-made, isShort, now)
+		s.room.Learn(call.batch.RoomBytes-call.known-made, isShort, now)
 		if isFull(call.results) {
 			// Results that this VM does not know of take up the room, and end within their lifetime.
 			s.blocked = now.Add(fullPause)
@@ -276,7 +273,7 @@
 func (c *Coordinator) finishPiece(call *finished, s *slot, item *radishbatch.Item, r radish.PieceResult, now time.Time) {
 	j := c.owners[item]
 	if r.Outcome == radish.PieceDone {
-		s.results[r.Handle] = held{bytes: item.Bytes, madeAt: now, until: now.Add(call.batch.ResultLife)}
+		s.room.Add(r.Handle, item.Bytes, now, now.Add(call.batch.ResultLife))
 		if j == nil {
 			c.giveUp([]string{r.Handle})
 			return
@@ -304,10 +301,3 @@
 		c.failItem(item, r.Outcome)
 	}
 }
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/pkg/radishbatch/backlog_test.go
+++ b/pkg/radishbatch/backlog_test.go
@@ -8,7 +8,8 @@
 func TestFinish(t *testing.T) {
 	const call = 300 * time.Millisecond
 	idle := Line{PerSecond: 100, CallTime: call, Targets: 4}
-	loaded := Line{PerSecond: 100, CallTime: call, Targets: 4, Busy: 4, Waiting: 60, Coming: 40}
+	loaded := Line{PerSecond: 100, CallTime: call, Targets: 4, Busy: 4}
+	loaded.Demand.Add(100, 0)
 	chain := []Need{{Service: "a", Pieces: 1}, {Service: "b", After: []int{0}, Pieces: 4}, {Service: "a", Pieces: 0}}
 	tests := []struct {
 		name  string
@@ -36,7 +37,9 @@
 }
 
 func TestEmptiedHasNoWait(t *testing.T) {
-	lines := map[string]Line{"a": {PerSecond: 10, CallTime: time.Second, Targets: 2, Busy: 2, Waiting: 50}}
+	line := Line{PerSecond: 10, CallTime: time.Second, Targets: 2, Busy: 2}
+	line.Demand.Add(50, 0)
+	lines := map[string]Line{"a": line}
 	if got, ok := Finish(Emptied(lines), []Need{{Service: "a", Pieces: 1}}); got != time.Second || !ok {
 		t.Errorf("got %v, %v", got, ok)
 	}
--- a/pkg/radishbatch/queue.go
+++ b/pkg/radishbatch/queue.go
@@ -57,6 +57,13 @@
 // Len returns how many pieces wait.
 func (q *Queue) Len() int { return len(q.items) }
 
+// AddTo counts the pieces that wait.
+func (q *Queue) AddTo(d *Demand, now time.Time) {
+	for _, i := range q.items {
+		d.Add(1, i.Due.Sub(now))
+	}
+}
+
 // Remove drops the pieces for which gone is true and returns them.
 func (q *Queue) Remove(gone func(*Item) bool) []*Item {
 	var removed []*Item
--- a/pkg/radishbatch/queue_test.go
+++ b/pkg/radishbatch/queue_test.go
@@ -149,19 +149,20 @@
 			next++
 		}
 		q.Expire(now, s.callTime)
-		inTime += s.serve(&q, free, now)
+		inTime += len(s.serve(&q, free, now))
 	}
 	return float64(inTime) / float64(len(arrivals))
 }
 
-func (s stage) serve(q *Queue, free []time.Time, now time.Time) int {
+// serve starts calls at free targets and returns the pieces that they make in time.
+func (s stage) serve(q *Queue, free []time.Time, now time.Time) []*Item {
 	idle := 0
 	for i := range free {
 		if !free[i].After(now) {
 			idle++
 		}
 	}
-	inTime := 0
+	var inTime []*Item
 	for i := range free {
 		if free[i].After(now) {
 			continue
@@ -175,7 +176,7 @@
 		free[i] = now.Add(s.callTime + time.Duration(len(items))*s.pieceTime)
 		for _, item := range items {
 			if !free[i].After(item.Due) {
-				inTime++
+				inTime = append(inTime, item)
 			}
 		}
 	}
