--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 COUNT ?= 1000
 SECONDS ?= 4
 
-.PHONY: setup build generate demo bench slopes measure test lint model promises fuzz soak
+.PHONY: setup build generate demo bench bound slopes measure test lint model promises fuzz soak
 
 setup: ## Fetch the libraries and build the linter.
 	go mod download
@@ -52,6 +52,9 @@
 bench: build ## Measure what an entry VM adds to a four-stage request.
 	tools/bench/run.sh
 
+bound: ## Print the most that any policy could earn from the example deployments, and what binds.
+	for file in examples/bound/*.json; do echo "$$file"; go run ./tools/bound "$$file" || exit 1; done
+
 slopes: ## Measure how control grows with size and extrapolate it.
 	go run ./tools/slopes
 
