--- a/internal/radishsite/gossip.go
+++ b/internal/radishsite/gossip.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishmirror"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
 )
 
@@ -121,32 +122,52 @@
 	}
 }
 
+// fetch takes the peer's newer records, or all when these do not make the VM know what the peer knows.
 func (p *peers) fetch(name string, kind radish.RecordKind) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	after := p.mirror.Complete(kind)
+	changes, err := p.fetchSince(ctx, name, kind, p.mirror.Complete(kind))
+	if err != nil {
+		p.log.Warn("peer gave no records", "peer", name, "kind", string(kind), "error", err.Error())
+		return
+	}
+	news, agrees := p.mirror.ApplyPeer(kind, changes)
+	p.takeNews(news, name)
+	if agrees {
+		return
+	}
+	p.log.Info("records differ from the peer's, fetching all", "peer", name, "kind", string(kind), "complete", changes.Complete)
+	changes, err = p.fetchSince(ctx, name, kind, 0)
+	if err != nil {
+		p.log.Warn("peer gave no records", "peer", name, "kind", string(kind), "error", err.Error())
+		return
+	}
+	p.takeNews(p.mirror.Replace(kind, changes.Records, changes.Complete), name)
+}
+
+func (p *peers) fetchSince(ctx context.Context, name string, kind radish.RecordKind, after int64) (radishmirror.Changes, error) {
 	res, err := p.node.Call(ctx, name, &radishpeerpb.Request{Body: &radishpeerpb.Request_Records{
 		Records: &radishpeerpb.RecordsRequest{Kind: string(kind), After: after},
 	}})
 	if err != nil {
-		p.log.Warn("peer gave no records", "peer", name, "kind", string(kind), "error", err.Error())
-		return
+		return radishmirror.Changes{}, err
 	}
-	var records []radish.Record
-	for _, m := range res.GetRecords().GetRecords() {
+	reply := res.GetRecords()
+	changes := radishmirror.Changes{Complete: reply.GetComplete(), Digest: reply.GetDigest()}
+	for _, m := range reply.GetRecords() {
 		r, err := unpack(kind, m)
 		if err != nil {
-			p.log.Warn("peer's records not taken", "peer", name, "kind", string(kind), "error", err.Error())
-			return
+			return radishmirror.Changes{}, err
 		}
-		records = append(records, r)
-	}
-	if news := p.mirror.ApplyUpTo(kind, records, res.GetRecords().GetComplete()); len(news) > 0 {
-		p.takeNews(news, name)
+		changes.Records = append(changes.Records, r)
 	}
+	return changes, nil
 }
 
 func (p *peers) takeNews(news []radish.Record, source string) {
+	if len(news) == 0 {
+		return
+	}
 	if news[0].Kind == radish.RecordVM {
 		p.update()
 	}
@@ -163,9 +184,9 @@
 }
 
 func (p *peers) answerRecords(req *radishpeerpb.RecordsRequest) *radishpeerpb.Response {
-	records, complete := p.mirror.Since(radish.RecordKind(req.GetKind()), req.GetAfter())
-	reply := &radishpeerpb.RecordsReply{Complete: complete}
-	for _, r := range records {
+	changes := p.mirror.Since(radish.RecordKind(req.GetKind()), req.GetAfter())
+	reply := &radishpeerpb.RecordsReply{Complete: changes.Complete, Digest: changes.Digest}
+	for _, r := range changes.Records {
 		reply.Records = append(reply.Records, p.packer.message(r))
 	}
 	return &radishpeerpb.Response{Body: &radishpeerpb.Response_Records{Records: reply}}
--- a/pkg/radishmirror/mirror.go
+++ b/pkg/radishmirror/mirror.go
@@ -1,6 +1,7 @@
 package radishmirror
 
 import (
+	"strconv"
 	"sync"
 
 	"radishramp.example/radishramp/pkg/radish"
@@ -22,20 +23,44 @@
 	return m.apply(records)
 }
 
-// ApplyUpTo takes in changes after which all up to the revision are known, and returns those that were news.
+// ApplyUpTo takes in changes after which all up to the revision are known, and returns those that were news. What was
+// complete only before what is known here tells nothing new.
 func (m *Mirror) ApplyUpTo(kind radish.RecordKind, records []radish.Record, revision int64) []radish.Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if revision < m.complete[kind] {
+		return nil
+	}
 	news := m.apply(records)
 	m.raise(kind, revision)
 	return news
 }
 
+// ApplyPeer takes in a peer's changes and returns those that were news. When the records differ from the peer's after that,
+// agrees is false and not all up to the peer's revision are known: a peer does not know of a record that came and went
+// before its first list.
+func (m *Mirror) ApplyPeer(kind radish.RecordKind, c Changes) (news []radish.Record, agrees bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c.Complete < m.complete[kind] {
+		return nil, true
+	}
+	news = m.apply(c.Records)
+	if m.digest(kind) != c.Digest {
+		return news, false
+	}
+	m.raise(kind, c.Complete)
+	return news, true
+}
+
 // Replace takes in a whole list that holds at the revision and returns what was news: records that the list lacks and
-// that are not newer than it are removed.
+// that are not newer than it are removed. A list from before what is known here tells nothing new.
 func (m *Mirror) Replace(kind radish.RecordKind, records []radish.Record, revision int64) []radish.Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if revision < m.complete[kind] {
+		return nil
+	}
 	listed := make(map[string]bool, len(records))
 	for _, r := range records {
 		listed[r.Name] = true
@@ -104,16 +129,34 @@
 	return m.complete[kind]
 }
 
-// Since returns the records of the kind, removed ones included, that changed after the revision, and the revision up
-// to which they are complete.
-func (m *Mirror) Since(kind radish.RecordKind, revision int64) ([]radish.Record, int64) {
+// Changes are the records of a kind that changed after a revision, removed ones included.
+type Changes struct {
+	Records []radish.Record
+	// Complete is the revision up to which they are all, Digest that of all records that are there then.
+	Complete int64
+	Digest   uint64
+}
+
+// Since returns the changes after the revision.
+func (m *Mirror) Since(kind radish.RecordKind, revision int64) Changes {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var records []radish.Record
+	c := Changes{Complete: m.complete[kind], Digest: m.digest(kind)}
 	for _, r := range m.records[kind] {
 		if r.Revision > revision {
-			records = append(records, r)
+			c.Records = append(c.Records, r)
+		}
+	}
+	return c
+}
+
+// digest tells mirrors apart that hold other records, or other revisions of them.
+func (m *Mirror) digest(kind radish.RecordKind) uint64 {
+	digest := uint64(0)
+	for name, r := range m.records[kind] {
+		if !r.Removed {
+			digest ^= radish.RendezvousScore(name, strconv.FormatInt(r.Revision, 10))
 		}
 	}
-	return records, m.complete[kind]
+	return digest
 }
--- a/tools/bound/main.go
+++ b/tools/bound/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/gravitational/trace"
@@ -84,16 +85,20 @@
 	return nil
 }
 
+// show prints the kinds and the limits as two tables.
 func show(w io.Writer, d *radishbound.Deployment, b *radishbound.Bound) error {
-	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(table, "kind\tasked a second\tserved at most\n")
+	var text strings.Builder
+	text.WriteString("kind\tasked a second\tserved at most\n")
 	for k, kind := range d.Kinds {
-		fmt.Fprintf(table, "%s\t%.1f\t%.3f\n", kind.Name, kind.PerSecond, b.Served[k])
+		fmt.Fprintf(&text, "%s\t%.1f\t%.3f\n", kind.Name, kind.PerSecond, b.Served[k])
 	}
-	fmt.Fprintf(table, "all, by worth\t\t%.3f\n\n", b.Share)
-	fmt.Fprintf(table, "limit\tasked\tused\n")
+	fmt.Fprintf(&text, "all, by worth\t\t%.3f\n\nlimit\tasked\tused\n", b.Share)
 	for _, limit := range b.Limits {
-		fmt.Fprintf(table, "%s\t%.3f\t%.3f\n", limit.Name, limit.Asked, limit.Used)
+		fmt.Fprintf(&text, "%s\t%.3f\t%.3f\n", limit.Name, limit.Asked, limit.Used)
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(table, text.String()); err != nil {
+		return err
 	}
 	return table.Flush()
 }
