--- a/internal/radishserve/cluster_test.go
+++ b/internal/radishserve/cluster_test.go
@@ -159,9 +159,10 @@
 	v := &vm{name: name, view: &radishstandin.View{Platform: c.platform}, done: make(chan struct{})}
 	v.orders = &radishstandin.Orderer{Fleet: c.fleet}
 	v.server = &Server{
-		Settings: cfg, Log: hclog.NewNullLogger(), Platform: v.view, Targets: c.fleet, Orders: v.orders,
-		Listen: func(address string) (net.Listener, error) { return c.network.Listen(address) },
-		Dial:   c.network.Dialer(name + ":3"),
+		Settings: cfg, Log: hclog.NewNullLogger(), Platform: v.view, Orders: v.orders,
+		Targets: &radishstandin.Reach{Fleet: c.fleet, Network: c.network, From: name + ":3"},
+		Listen:  func(address string) (net.Listener, error) { return c.network.Listen(address) },
+		Dial:    c.network.Dialer(name + ":3"),
 	}
 	if err := v.server.Build(); err != nil {
 		c.t.Fatal(err)
--- a/internal/radishserve/leaving_test.go
+++ b/internal/radishserve/leaving_test.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// cutDataCentre cuts a data centre off from the others and from the platform.
+// cutDataCentre cuts a data centre, its targets included, off from the others and from the platform.
 func (c *cluster) cutDataCentre(dc string) {
 	c.network.SetBlocked(func(from, to string) bool { return strings.HasPrefix(from, dc) != strings.HasPrefix(to, dc) })
 	for _, v := range c.vms {
--- a/internal/radishstandin/network.go
+++ b/internal/radishstandin/network.go
@@ -43,9 +43,8 @@
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		n.mu.Lock()
 		l := n.listeners[address]
-		blocked := n.blocked != nil && n.blocked(from, address)
 		n.mu.Unlock()
-		if l == nil || blocked {
+		if l == nil || n.IsBlocked(from, address) {
 			return nil, errNoListener
 		}
 		near, far := net.Pipe()
@@ -78,6 +77,13 @@
 	}
 }
 
+// IsBlocked tells whether two addresses are cut off from each other.
+func (n *Network) IsBlocked(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.blocked != nil && n.blocked(from, to)
+}
+
 // pipeListener hands out the far ends of pipes.
 type pipeListener struct {
 	address string
