Leave a coordinator that stands still: probe it when it owes plans and says nothing

Cause: a VM whose process stands still keeps its connections, since the kernel answers for it. Only the gossip with a random peer found it out, each VM for itself, and a plan waited until its own end (up to seconds). A VM that dialled it anew counted it as linked at once, before any answer.

A dialled peer counts as linked only once its first call is answered. A busy coordinator gets no probe.

--- a/internal/radishsite/loop.go
+++ b/internal/radishsite/loop.go
@@ -45,6 +45,7 @@
 	}
 	add(s.peers.node.Run)
 	add(s.peers.Run)
+	add(s.peers.router.Watch)
 	add(s.saveSelf)
 	add(s.followSettings)
 	s.peers.update()
--- a/internal/radishstage/coordinator_test.go
+++ b/internal/radishstage/coordinator_test.go
@@ -284,6 +284,10 @@
 	return f(name, req)
 }
 
+func (f fakePeers) Ping(context.Context, string) error { return nil }
+
+func (f fakePeers) CloseLink(string) {}
+
 // TestCoordinatorsThatDoNotAnswerAreLeft lets the first two coordinators be out of reach: the VM runs the plan itself,
 // and asks neither for the next one.
 func TestCoordinatorsThatDoNotAnswerAreLeft(t *testing.T) {
--- a/internal/radishstage/router.go
+++ b/internal/radishstage/router.go
@@ -24,6 +24,10 @@
 type PeerCaller interface {
 	// Call returns the peer's response; radish.ErrUnavailable when there is no link or it breaks.
 	Call(ctx context.Context, name string, req *radishpeerpb.Request) (*radishpeerpb.Response, error)
+	// Ping returns once the peer has answered.
+	Ping(ctx context.Context, name string) error
+	// CloseLink ends the link to the peer and the calls over it.
+	CloseLink(name string)
 }
 
 // Router has plans run by the VM that coordinates their shard; set the exported fields before first use.
@@ -42,6 +46,7 @@
 	mu sync.Mutex
 	// suspects holds until when VMs that did not answer are left alone.
 	suspects map[string]time.Time
+	watch    watch
 }
 
 // Run runs the plan; a *RefusedError when there is no room for it.
@@ -97,7 +102,9 @@
 func (r *Router) ask(ctx context.Context, owner string, shard, shards int, p *Plan) (*Result, error) {
 	body := encode(p, time.Now())
 	body.Shard, body.Shards = uint32(shard), uint32(shards)
+	r.watch.begin(owner, time.Now())
 	res, err := r.Peers.Call(ctx, owner, &radishpeerpb.Request{Body: &radishpeerpb.Request_Plan{Plan: body}})
+	r.watch.end(owner, time.Now(), err == nil)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/radishstage/watch_test.go
@@ -0,0 +1,103 @@
+package radishstage
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
+)
+
+// frozenPeers have stopped: their connections stay open, and calls and pings wait until the link is closed.
+type frozenPeers struct {
+	mu     sync.Mutex
+	pings  int
+	closed chan struct{}
+}
+
+func (f *frozenPeers) wait(ctx context.Context) error {
+	select {
+	case <-f.closed:
+		return radish.ErrUnavailable
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (f *frozenPeers) Call(ctx context.Context, _ string, _ *radishpeerpb.Request) (*radishpeerpb.Response, error) {
+	return nil, f.wait(ctx)
+}
+
+func (f *frozenPeers) Ping(ctx context.Context, _ string) error {
+	f.mu.Lock()
+	f.pings++
+	f.mu.Unlock()
+	return f.wait(ctx)
+}
+
+func (f *frozenPeers) CloseLink(string) { close(f.closed) }
+
+// TestFrozenCoordinatorIsLeft freezes the VM that coordinates while a plan waits there: another VM runs the plan within
+// a second and a half, while its caller still waits.
+func TestFrozenCoordinatorIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newCoordinator(2)
+		frozen := &frozenPeers{closed: make(chan struct{})}
+		r := &Router{
+			Self: "self", Owners: func(int, int) []string { return []string{"frozen", "self"} }, Shards: func() int { return 1 },
+			Local: func(int, int) *Coordinator { return c }, Log: hclog.NewNullLogger(), Peers: frozen,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		watched := make(chan error)
+		go func() { watched <- r.Watch(ctx) }()
+		began := time.Now()
+		ctxOfCall, cancelCall := context.WithTimeout(ctx, 10*time.Second)
+		defer cancelCall()
+		if _, err := r.Run(ctxOfCall, newPlan("call", 5*time.Second)); err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(began); took > 1500*time.Millisecond {
+			t.Errorf("the plan took %v", took)
+		}
+		cancel()
+		if err := <-watched; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	})
+}
+
+// TestBusyCoordinatorIsNotProbed replays a coordinator at the worst load, from which answers come all the time: it gets
+// no probe beyond its work, and neither does a VM of which nothing is asked.
+func TestBusyCoordinatorIsNotProbed(t *testing.T) {
+	now := time.Unix(0, 0)
+	w := &watch{}
+	w.begin("busy", now)
+	for range 100 {
+		now = now.Add(silenceTime / 2)
+		w.begin("busy", now)
+		if silent := w.silent(now); len(silent) > 0 {
+			t.Fatalf("probed: %v", silent)
+		}
+		w.end("busy", now, true)
+	}
+	w.begin("idle", now)
+	w.end("idle", now, true)
+	now = now.Add(silenceTime)
+	if silent := w.silent(now); !slices.Equal(silent, []string{"busy"}) {
+		t.Fatalf("silent: %v, want the one of which a plan is asked", silent)
+	}
+	if silent := w.silent(now); len(silent) > 0 {
+		t.Errorf("probed while another probe is under way: %v", silent)
+	}
+	w.probed("busy", now, true)
+	if silent := w.silent(now.Add(silenceTime / 2)); len(silent) > 0 {
+		t.Errorf("probed soon after an answer: %v", silent)
+	}
+}
--- a/pkg/radishpeer/node.go
+++ b/pkg/radishpeer/node.go
@@ -193,9 +193,13 @@
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
 	if name != "" {
+		// The first call tells the peer who dialled, so that it can call back over the same session. The kernel takes
+		// connections for a process that stands still, so that the peer counts as linked only once it has answered.
+		if _, err := n.callSession(ctx, session, &radishpeerpb.Request{From: n.Name}); err != nil {
+			n.Log.Debug("peer took the connection but did not answer", "peer", name, "error", err.Error())
+			return
+		}
 		n.addLink(name, session)
-		// The first call tells the peer who dialled, so that it can call back over the same session.
-		_, _ = n.callSession(ctx, session, &radishpeerpb.Request{From: n.Name})
 	}
 	n.serveStreams(ctx, session)
 	n.dropLink(session)
@@ -309,6 +313,20 @@
 	return res, nil
 }
 
+// Ping returns once the named peer has answered; ErrUnavailable when there is no link or it breaks.
+func (n *Node) Ping(ctx context.Context, name string) error {
+	n.mu.Lock()
+	l := n.links[name]
+	n.mu.Unlock()
+	if l == nil {
+		return trace.Wrap(radish.ErrUnavailable, "no link to %s", name)
+	}
+	if _, err := n.callSession(ctx, l.session, &radishpeerpb.Request{From: n.Name}); err != nil {
+		return trace.Wrap(radish.ErrUnavailable, "ping of %s: %v", name, err)
+	}
+	return nil
+}
+
 func (n *Node) callSession(ctx context.Context, session *yamux.Session, req *radishpeerpb.Request) (*radishpeerpb.Response, error) {
 	stream, err := session.OpenStream()
 	if err != nil {
