Count on peers whose connections were reset while they are dialled anew

Change: a peer whose connection ends with a reset or its end counts as linked for up to 600 ms while it is dialled anew, and calls to it wait for that; a dial that fails, a link closed for silence, or a timeout ends that at once. A plan whose link was reset is asked of the same VM again. TestReplayAllLinksReset, TestResetLinkDoesNotMoveThePlan failed before; TestReplayEndedVMIsLeft holds what an ended VM may cost.

--- a/internal/radishsite/peer_test.go
+++ b/internal/radishsite/peer_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,33 @@
 	listeners map[string]chan net.Conn
 	// bytesPerSecond is what each VM can send; 0 sets no bound.
 	bytesPerSecond int
+	conns          []*resetConn
+}
+
+// resetConn is a connection that the network can reset.
+type resetConn struct {
+	net.Conn
+	isReset  atomic.Bool
+	from, to string
+}
+
+func (c *resetConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil && c.isReset.Load() {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// reset ends all connections at once.
+func (p *pipes) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.isReset.Store(true)
+		_ = c.Close()
+	}
+	p.conns = nil
 }
 
 // slowConn sends what is written over the VM's link, which its connections share; a write does not wait for that, as with a
@@ -85,6 +113,19 @@
 	return c
 }
 
+// remove ends a VM: its connections are reset, nobody listens at its address, and it dials nobody.
+func (p *pipes) remove(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.listeners, name+":1")
+	for _, c := range p.conns {
+		if c.from == name+":1" || c.to == name+":1" {
+			c.isReset.Store(true)
+			_ = c.Close()
+		}
+	}
+}
+
 type pipeListener struct {
 	address string
 	conns   chan net.Conn
@@ -102,14 +143,18 @@
 	return l
 }
 
-func (p *pipes) dial(ctx context.Context, address string) (net.Conn, error) {
+func (p *pipes) dial(ctx context.Context, from, address string) (net.Conn, error) {
 	p.mu.Lock()
-	conns := p.listeners[address]
+	conns, self := p.listeners[address], p.listeners[from]
 	p.mu.Unlock()
-	if conns == nil {
+	if conns == nil || self == nil {
 		return nil, radish.ErrUnavailable
 	}
-	ours, theirs := net.Pipe()
+	near, far := net.Pipe()
+	ours, theirs := &resetConn{Conn: near, from: from, to: address}, &resetConn{Conn: far, from: from, to: address}
+	p.mu.Lock()
+	p.conns = append(p.conns, ours, theirs)
+	p.mu.Unlock()
 	select {
 	case conns <- theirs:
 		return ours, nil
@@ -149,7 +194,7 @@
 	}
 	listener := network.listen(p.self.Address)
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := network.dial(ctx, address)
+		conn, err := network.dial(ctx, name+":1", address)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/radishsite/reset_test.go
@@ -0,0 +1,58 @@
+package radishsite
+
+import (
+	"context"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
+)
+
+// TestReplayAllLinksReset resets all connections between twelve VMs at once, as a network does that loses its state: no
+// VM takes itself for the coordinator meanwhile, and a call that begins then is answered once the links are back.
+func TestReplayAllLinksReset(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		network := &pipes{listeners: make(map[string]chan net.Conn)}
+		vms := startPeersOn(t, network, 12)
+		owner := vms[0].owners(0, 1)[0]
+		network.reset()
+		asked := make(chan error, 1)
+		caller := vms[slices.IndexFunc(vms, func(p *testVM) bool { return p.self.Name != owner })]
+		go func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			time.Sleep(time.Millisecond)
+			_, err := caller.node.Call(ctx, owner, &radishpeerpb.Request{Body: &radishpeerpb.Request_Site{Site: caller.heartbeat()}})
+			asked <- err
+		}()
+		for range 100 {
+			time.Sleep(5 * time.Millisecond)
+			for _, p := range vms {
+				if first := p.owners(0, 1)[0]; first != owner {
+					t.Fatalf("%s takes %s for the coordinator, not %s", p.self.Name, first, owner)
+				}
+			}
+		}
+		if err := <-asked; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestReplayEndedVMIsLeft ends a VM without a word: the others count on it for no more than half a second.
+func TestReplayEndedVMIsLeft(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		network := &pipes{listeners: make(map[string]chan net.Conn)}
+		vms := startPeersOn(t, network, 4)
+		owner := vms[0].owners(0, 1)[0]
+		network.remove(owner)
+		time.Sleep(500 * time.Millisecond)
+		for _, p := range vms {
+			if first := p.owners(0, 1)[0]; p.self.Name != owner && first == owner {
+				t.Errorf("%s still takes the ended VM for the coordinator", p.self.Name)
+			}
+		}
+	})
+}
--- a/internal/radishstage/router.go
+++ b/internal/radishstage/router.go
@@ -22,7 +22,8 @@
 
 // PeerCaller calls other VMs.
 type PeerCaller interface {
-	// Call returns the peer's response; radish.ErrUnavailable when there is no link or it breaks.
+	// Call returns the peer's response; radish.ErrUnavailable when there is no link or it breaks, radish.ErrReset as well
+	// when the link is opened anew.
 	Call(ctx context.Context, name string, req *radishpeerpb.Request) (*radishpeerpb.Response, error)
 	// Ping returns once the peer has answered.
 	Ping(ctx context.Context, name string) error
@@ -53,6 +54,7 @@
 func (r *Router) Run(ctx context.Context, p *Plan) (*Result, error) {
 	shards := r.Shards()
 	shard := shardOf(p.CallID, shards)
+	wasReset := false
 	for range maxOwners {
 		owner := r.owner(shard, shards)
 		if owner == r.Self {
@@ -63,6 +65,11 @@
 		if !isElsewhere || ctx.Err() != nil {
 			return result, err
 		}
+		if errors.Is(err, radish.ErrReset) && !wasReset {
+			r.Log.Info("link reset, coordinator asked again", "peer", owner, "shard", shard, "id", p.CallID)
+			wasReset = true
+			continue
+		}
 		r.Log.Warn("coordinator did not answer", "peer", owner, "shard", shard, "id", p.CallID, "error", err.Error())
 		r.suspect(owner)
 	}
--- a/internal/radishstage/watch_test.go
+++ b/internal/radishstage/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -101,3 +102,30 @@
 		t.Errorf("probed soon after an answer: %v", silent)
 	}
 }
+
+// TestResetLinkDoesNotMoveThePlan resets the link while a plan waits at its coordinator: the same VM is asked again, and
+// no other one coordinates beside it.
+func TestResetLinkDoesNotMoveThePlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newCoordinator(2)
+		remote := &Router{Self: "remote", Local: func(int, int) *Coordinator { return c }, Log: hclog.NewNullLogger()}
+		asked := 0
+		r := &Router{
+			Self: "self", Owners: func(int, int) []string { return []string{"remote", "self"} }, Shards: func() int { return 1 },
+			Local: func(int, int) *Coordinator {
+				t.Error("this VM coordinates beside the other one")
+				return c
+			},
+			Log: hclog.NewNullLogger(),
+			Peers: fakePeers(func(_ string, req *radishpeerpb.Request) (*radishpeerpb.Response, error) {
+				if asked++; asked == 1 {
+					return nil, fmt.Errorf("%w: %w", radish.ErrUnavailable, radish.ErrReset)
+				}
+				return &radishpeerpb.Response{Body: &radishpeerpb.Response_Plan{Plan: remote.Serve(context.Background(), req.GetPlan())}}, nil
+			}),
+		}
+		if _, err := r.Run(t.Context(), newPlan("call", 2*time.Second)); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/pkg/radishpeer/node.go
+++ b/pkg/radishpeer/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -57,19 +58,17 @@
 	mu    sync.Mutex
 	wg    sync.WaitGroup
 	links map[string]*link
-	dials map[string]context.CancelFunc
-	peers []Peer
-	root  context.Context
+	// reset holds until when peers whose connection was reset count as linked; changed is closed when that ends early.
+	reset   map[string]time.Time
+	changed chan struct{}
+	dials   map[string]context.CancelFunc
+	peers   []Peer
+	root    context.Context
 
 	bytesSent     atomic.Int64
 	bytesReceived atomic.Int64
 }
 
-// link is an open session with a peer.
-type link struct {
-	session *yamux.Session
-}
-
 // Traffic returns the bytes sent to and received from all peers so far.
 func (n *Node) Traffic() (sent, received int64) {
 	return n.bytesSent.Load(), n.bytesReceived.Load()
@@ -82,6 +81,8 @@
 	n.mu.Lock()
 	n.root = ctx
 	n.links = make(map[string]*link)
+	n.reset = make(map[string]time.Time)
+	n.changed = make(chan struct{})
 	n.dials = make(map[string]context.CancelFunc)
 	n.dialPeers()
 	n.mu.Unlock()
@@ -155,6 +156,8 @@
 		if err == nil {
 			wait.Reset()
 			n.serveConn(ctx, conn, p.Name)
+		} else {
+			n.giveUpReset(p.Name)
 		}
 		select {
 		case <-ctx.Done():
@@ -202,40 +205,7 @@
 		n.addLink(name, session)
 	}
 	n.serveStreams(ctx, session)
-	n.dropLink(session)
-}
-
-// addLink names the session; a peer that was dialled by its address alone gets its name with its first call.
-func (n *Node) addLink(name string, session *yamux.Session) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.links == nil || name == "" {
-		return
-	}
-	for other, l := range n.links {
-		if l.session == session && other != name {
-			delete(n.links, other)
-		}
-	}
-	n.links[name] = &link{session: session}
-}
-
-// hasLink tells whether the session is known by the name.
-func (n *Node) hasLink(name string, session *yamux.Session) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	l := n.links[name]
-	return l != nil && (l.session == session || !l.session.IsClosed())
-}
-
-func (n *Node) dropLink(session *yamux.Session) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for name, l := range n.links {
-		if l.session == session {
-			delete(n.links, name)
-		}
-	}
+	n.dropLink(session, isReset(counted.failure()))
 }
 
 func (n *Node) serveStreams(ctx context.Context, session *yamux.Session) {
@@ -283,27 +253,18 @@
 	cancel()
 }
 
-// Linked returns the names of the peers that can be called now.
-func (n *Node) Linked() []string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	names := make([]string, 0, len(n.links))
-	for name := range n.links {
-		names = append(names, name)
-	}
-	return names
-}
-
-// Call sends the request to the named peer; ErrUnavailable when there is no link or it breaks.
+// Call sends the request to the named peer; radish.ErrUnavailable when there is no link or it breaks, radish.ErrReset as
+// well when the link is opened anew.
 func (n *Node) Call(ctx context.Context, name string, req *radishpeerpb.Request) (*radishpeerpb.Response, error) {
-	n.mu.Lock()
-	l := n.links[name]
-	n.mu.Unlock()
-	if l == nil {
-		return nil, trace.Wrap(radish.ErrUnavailable, "no link to %s", name)
+	session, err := n.session(ctx, name)
+	if err != nil {
+		return nil, err
 	}
 	req.From = n.Name
-	res, err := n.callSession(ctx, l.session, req)
+	res, err := n.callSession(ctx, session, req)
+	if err != nil && n.isRelinked(name, session) {
+		return nil, fmt.Errorf("call to %s: %w, %w: %w", name, radish.ErrUnavailable, radish.ErrReset, err)
+	}
 	if err != nil {
 		return nil, trace.Wrap(radish.ErrUnavailable, "call to %s: %v", name, err)
 	}
@@ -315,13 +276,11 @@
 
 // Ping returns once the named peer has answered; ErrUnavailable when there is no link or it breaks.
 func (n *Node) Ping(ctx context.Context, name string) error {
-	n.mu.Lock()
-	l := n.links[name]
-	n.mu.Unlock()
-	if l == nil {
-		return trace.Wrap(radish.ErrUnavailable, "no link to %s", name)
+	session, err := n.session(ctx, name)
+	if err != nil {
+		return err
 	}
-	if _, err := n.callSession(ctx, l.session, &radishpeerpb.Request{From: n.Name}); err != nil {
+	if _, err := n.callSession(ctx, session, &radishpeerpb.Request{From: n.Name}); err != nil {
 		return trace.Wrap(radish.ErrUnavailable, "ping of %s: %v", name, err)
 	}
 	return nil
@@ -352,13 +311,3 @@
 	}
 	return &res, nil
 }
-
-// CloseLink ends the session with the peer, as when its heartbeats have stopped.
-func (n *Node) CloseLink(name string) {
-	n.mu.Lock()
-	l := n.links[name]
-	n.mu.Unlock()
-	if l != nil {
-		_ = l.session.Close()
-	}
-}
