Count on listed VMs while they start; log each decision of the own interface

Change: a VM that is new in the list counts as in reach for up to 1.5 s before the first link to it, and calls wait for that link.

Log. radishramp serve wrote to standard error, could block on it, and had no line for a request. Change: standard output by the same bounded writer as radishramp site; one line for each request and attempt, for each change of what is believed of a target, for the platform lost and regained. Links are logged where they open and close, in one place for both commands.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/hashicorp/go-hclog"
-
 	"radishramp.example/radishramp/internal/radishserve"
 	"radishramp.example/radishramp/internal/radishsetting"
 )
@@ -37,9 +34,9 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
-	log := hclog.New(&hclog.LoggerOptions{
-		Name: "radishramp", Level: hclog.LevelFromString(cfg.Log.Level), Output: os.Stderr, JSONFormat: true,
-	}).With("vm", cfg.VM.Name, "data_centre", cfg.VM.DataCentre)
+	log, closeLog := newLog(cfg.Log.Level)
+	defer closeLog()
+	log = log.With("vm", cfg.VM.Name, "data_centre", cfg.VM.DataCentre)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	server := &radishserve.Server{Settings: cfg, Log: log}
--- a/cmd/site.go
+++ b/cmd/site.go
@@ -12,7 +12,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"radishramp.example/radishramp/internal/radishdial"
-	"radishramp.example/radishramp/internal/radishlog"
 	"radishramp.example/radishramp/internal/radishsite"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/platform/radishadapter"
@@ -48,10 +47,9 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
-	out := radishlog.NewWriter(os.Stdout)
-	defer out.Close()
-	log := hclog.New(&hclog.LoggerOptions{Name: "radishramp", Level: hclog.LevelFromString(c.LogLevel), Output: out, JSONFormat: true}).
-		With("vm", site.VM)
+	log, closeLog := newLog(c.LogLevel)
+	defer closeLog()
+	log = log.With("vm", site.VM)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	changed := make(chan os.Signal, 1)
--- a/internal/radishentry/handler.go
+++ b/internal/radishentry/handler.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
 
 	"radishramp.example/radishramp/internal/radishburn"
 	"radishramp.example/radishramp/internal/radishmetric"
@@ -36,6 +37,9 @@
 	Burn      *radishburn.Recorder
 	// Rules returns the rules in force, nil before the first configuration.
 	Rules func() *radishrule.RuleSet
+	// Generation returns the generation of the configuration in force.
+	Generation func() uint64
+	Log        hclog.Logger
 	// IsReady tells whether the balancer should send requests here.
 	IsReady      func() bool
 	MaxBodyBytes int64
@@ -79,7 +83,7 @@
 	if problem != nil {
 		problem.RequestID = id
 		problem.write(w)
-		e.record(c, problem, time.Since(start))
+		e.record(id, c, problem, time.Since(start))
 		return
 	}
 	defer func() { e.Admission.Leave(c.team, c.request.Pipeline, time.Since(start)) }()
@@ -89,7 +93,7 @@
 	if problem == nil && time.Since(start) > c.deadline {
 		problem = newProblem(http.StatusGatewayTimeout, "deadline", "", "answered late")
 	}
-	e.record(c, problem, time.Since(start))
+	e.record(id, c, problem, time.Since(start))
 }
 
 func (e *Entry) answer(ctx context.Context, w http.ResponseWriter, c *call) *Problem {
@@ -111,22 +115,31 @@
 	return nil
 }
 
-// record counts the outcome; a refusal for the caller's own fault does not burn the objective.
-func (e *Entry) record(c *call, problem *Problem, took time.Duration) {
+// record logs and counts the outcome; a refusal for the caller's own fault does not burn the objective.
+func (e *Entry) record(id string, c *call, problem *Problem, took time.Duration) {
+	e.log(id, c, problem, took)
 	if c == nil || c.request == nil {
 		e.Metrics.Request("none", "bad_request", took)
 		return
 	}
-	outcome := "whole"
-	if problem != nil {
-		outcome = strings.TrimPrefix(problem.Type, "urn:radishramp:")
-	}
-	e.Metrics.Request(c.request.Pipeline.Name, outcome, took)
+	e.Metrics.Request(c.request.Pipeline.Name, problem.outcome(), took)
 	if problem == nil || problem.Status >= 500 || problem.Status == http.StatusTooManyRequests || problem.Status == http.StatusConflict {
 		e.Burn.Record(c.request.Pipeline.Name, c.request.Team, problem == nil)
 	}
 }
 
+// log writes the one line that tells how the request ended and what that was decided from.
+func (e *Entry) log(id string, c *call, problem *Problem, took time.Duration) {
+	fields := []any{"id", id, "outcome", problem.outcome(), "took_ms", took.Milliseconds(), "generation", e.Generation()}
+	if c != nil && c.request != nil {
+		fields = append(fields, "pipeline", c.request.Pipeline.Name, "team", c.request.Team, "deadline_ms", c.deadline.Milliseconds())
+	}
+	if problem != nil {
+		fields = append(fields, "status", problem.Status, "reason", problem.Detail, "ran", string(problem.Ran), "effect", string(problem.Effect))
+	}
+	e.Log.Info("request ended", fields...)
+}
+
 func (e *Entry) check(w http.ResponseWriter, r *http.Request, id string) (*call, *Problem) {
 	rules := e.Rules()
 	if rules == nil {
--- a/internal/radishentry/handler_test.go
+++ b/internal/radishentry/handler_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 
+	"github.com/hashicorp/go-hclog"
+
 	"radishramp.example/radishramp/internal/radishpipeline"
 	"radishramp.example/radishramp/internal/radishtarget"
 	"radishramp.example/radishramp/pkg/radish"
@@ -45,6 +47,7 @@
 		Runner:    &radishpipeline.Runner{Dispatcher: d},
 		Admission: &Admission{MaxInFlight: 10, EntryVMs: func() int { return 1 }},
 		Rules:     func() *radishrule.RuleSet { return rules }, IsReady: func() bool { return true }, MaxBodyBytes: 100,
+		Generation: func() uint64 { return 1 }, Log: hclog.NewNullLogger(),
 	}
 }
 
--- a/internal/radishentry/problem.go
+++ b/internal/radishentry/problem.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strings"
 
 	"radishramp.example/radishramp/internal/radishpipeline"
 	"radishramp.example/radishramp/pkg/radish"
@@ -42,16 +43,27 @@
 	Effect    Effect `json:"effect"`
 }
 
+// problemPrefix begins the type of each Problem.
+const problemPrefix = "urn:radishramp:"
+
 // ProblemContentType is the media type of a Problem.
 const ProblemContentType = "application/problem+json"
 
 func newProblem(status int, kind, field, detail string) *Problem {
 	return &Problem{
-		Type: "urn:radishramp:" + kind, Title: http.StatusText(status), Status: status,
+		Type: problemPrefix + kind, Title: http.StatusText(status), Status: status,
 		Detail: detail, Field: field, Ran: RanNot, Effect: EffectNone,
 	}
 }
 
+// outcome names the problem in logs and metrics; a nil problem is a whole answer.
+func (p *Problem) outcome() string {
+	if p == nil {
+		return "whole"
+	}
+	return strings.TrimPrefix(p.Type, problemPrefix)
+}
+
 // problemOf translates the error of a run.
 func problemOf(err error, result *radishpipeline.Result) *Problem {
 	p := classify(err)
--- a/internal/radishserve/build.go
+++ b/internal/radishserve/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -69,11 +70,12 @@
 		s.updateTargets()
 		s.heartbeats.sendSoon()
 	}
-	s.node = &radishpeer.Node{Name: vm.Name, Handler: s, Dial: s.Dial, Log: s.Log.Named("peer")}
+	s.node = &radishpeer.Node{Name: vm.Name, Handler: s, Dial: s.Dial, Log: s.Log.Named("link")}
 }
 
 // tellNews passes on at once what this VM saw itself and what must not wait: a target that turned cold or leaves.
 func (s *Server) tellNews(n radishtarget.News) {
+	s.Log.Info("target state changed", "target", n.Target, "state", string(n.State), "source", n.Teller, "age_ms", time.Since(n.Seen).Milliseconds())
 	if n.Teller != "" || n.State == radish.TargetWarm {
 		return
 	}
@@ -148,6 +150,7 @@
 	picker, _ := radish.Pickers.Lookup(s.Settings.Routing.Picker)
 	dispatcher := &radishtarget.Dispatcher{
 		Table: s.table, Client: s.targets, Picker: picker(), Permits: permitSource{server: s}, Metrics: s.metrics,
+		Log: s.Log.Named("stage"),
 	}
 	s.admission = &radishentry.Admission{
 		MaxInFlight: s.Settings.Caller.MaxInFlight,
@@ -156,7 +159,7 @@
 	s.entry = &radishentry.Entry{
 		Runner:    &radishpipeline.Runner{Dispatcher: dispatcher, Claims: s.ledger, Costs: &s.costs},
 		Admission: s.admission, Metrics: s.metrics, Burn: &s.burn, Rules: s.rules, IsReady: s.isReady,
-		MaxBodyBytes: s.Settings.Caller.MaxBodyBytes,
+		MaxBodyBytes: s.Settings.Caller.MaxBodyBytes, Generation: s.holder.Generation, Log: s.Log.Named("request"),
 	}
 }
 
--- a/internal/radishserve/cluster_test.go
+++ b/internal/radishserve/cluster_test.go
@@ -61,6 +61,7 @@
 	server *Server
 	view   *radishstandin.View
 	orders *radishstandin.Orderer
+	log    hclog.Logger
 	stop   context.CancelFunc
 	done   chan struct{}
 	err    error
@@ -78,6 +79,7 @@
 	targets  []*radishstandin.Target
 	stores   *radishconfig.Store
 	calls    sync.WaitGroup
+	log      logBuffer
 	// checksFencing tells whether model engines refuse old orders, and the rules say so.
 	checksFencing bool
 
@@ -156,10 +158,11 @@
 	cfg.Peer.Seeds = seeds
 	cfg.Routing.Picker = c.picker
 	cfg.Shutdown.BalancerWait = 500 * time.Millisecond
-	v := &vm{name: name, view: &radishstandin.View{Platform: c.platform}, done: make(chan struct{})}
+	log := hclog.New(&hclog.LoggerOptions{Output: &c.log, JSONFormat: true, Level: hclog.Off}).With("vm", name)
+	v := &vm{name: name, log: log, view: &radishstandin.View{Platform: c.platform}, done: make(chan struct{})}
 	v.orders = &radishstandin.Orderer{Fleet: c.fleet}
 	v.server = &Server{
-		Settings: cfg, Log: hclog.NewNullLogger(), Platform: v.view, Orders: v.orders,
+		Settings: cfg, Log: log, Platform: v.view, Orders: v.orders,
 		Targets: &radishstandin.Reach{Fleet: c.fleet, Network: c.network, From: name + ":3"},
 		Listen:  func(address string) (net.Listener, error) { return c.network.Listen(address) },
 		Dial:    c.network.Dialer(name + ":3"),
@@ -177,6 +180,13 @@
 	return v
 }
 
+// startLog has all VMs write their log from now on.
+func (c *cluster) startLog() {
+	for _, v := range c.vms {
+		v.log.SetLevel(hclog.Info)
+	}
+}
+
 // close stops every VM and waits for all that is under way.
 func (c *cluster) close() {
 	c.platform.SetFaults(radishstandin.Faults{})
--- a/internal/radishserve/server.go
+++ b/internal/radishserve/server.go
@@ -204,7 +204,10 @@
 
 func (s *Server) updateTargets() {
 	rules := s.rules()
-	s.table.Update(s.roster.Targets(), func(t radish.Target) bool { return s.drains.IsDrained(t, rules) })
+	changes := s.table.Update(s.roster.Targets(), func(t radish.Target) bool { return s.drains.IsDrained(t, rules) })
+	for _, c := range changes {
+		s.Log.Info(c.What, "target", c.Target, "generation", s.holder.Generation())
+	}
 }
 
 func (s *Server) newPlatformClient() *radishplatform.Client {
--- a/internal/radishsite/gossip.go
+++ b/internal/radishsite/gossip.go
@@ -48,7 +48,6 @@
 			continue
 		case <-timer.C:
 		}
-		p.logLinks()
 		linked := p.node.Linked()
 		if len(linked) == 0 {
 			continue
--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -40,7 +40,6 @@
 	storeAway map[string]bool
 	// heardAt is when a peer that the store answers was heard last.
 	heardAt time.Time
-	linked  map[string]bool
 	// fetching holds, by kind, when the newest fetch of records began that is under way.
 	fetching map[radish.RecordKind]time.Time
 	packer   packer
@@ -102,13 +101,13 @@
 	return names
 }
 
-// reachable returns the VMs that can be given work: the linked ones that do not leave, and this one unless it leaves.
+// reachable returns the VMs that can be given work: those in reach that do not leave, and this one unless it leaves.
 func (p *peers) reachable() []string {
-	linked := p.node.Linked()
+	inReach := p.node.InReach()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var names []string
-	for _, name := range linked {
+	for _, name := range inReach {
 		vm, ok := p.known[name]
 		if ok && p.leaving[name] != vm.Incarnation {
 			names = append(names, name)
@@ -126,24 +125,6 @@
 	return len(names) > 0 && names[0] != p.self.Name
 }
 
-func (p *peers) logLinks() {
-	now := make(map[string]bool)
-	for _, name := range p.node.Linked() {
-		now[name] = true
-	}
-	for name := range now {
-		if !p.linked[name] {
-			p.log.Info("peer linked", "peer", name)
-		}
-	}
-	for name := range p.linked {
-		if !now[name] {
-			p.log.Warn("peer lost", "peer", name)
-		}
-	}
-	p.linked = now
-}
-
 // hear takes in what a peer says of itself.
 func (p *peers) hear(h *radishpeerpb.SiteHeartbeat) {
 	p.mu.Lock()
--- a/internal/radishsite/peer_test.go
+++ b/internal/radishsite/peer_test.go
@@ -114,9 +114,10 @@
 }
 
 // remove ends a VM: its connections are reset, nobody listens at its address, and it dials nobody.
-func (p *pipes) remove(name string) {
+func (p *pipes) remove(name string) chan net.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	conns := p.listeners[name+":1"]
 	delete(p.listeners, name+":1")
 	for _, c := range p.conns {
 		if c.from == name+":1" || c.to == name+":1" {
@@ -124,6 +125,14 @@
 			_ = c.Close()
 		}
 	}
+	return conns
+}
+
+// restore has the VM reached again that was removed.
+func (p *pipes) restore(name string, conns chan net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listeners[name+":1"] = conns
 }
 
 type pipeListener struct {
@@ -209,7 +218,8 @@
 	return startPeersOn(t, &pipes{listeners: make(map[string]chan net.Conn)}, n)
 }
 
-func startPeersOn(t *testing.T, network *pipes, n int) []*testVM {
+// newListedPeers makes n VMs, none of which runs, that know each other from the store's records.
+func newListedPeers(t *testing.T, network *pipes, n int) []*testVM {
 	var records []radish.Record
 	var vms []*testVM
 	for i := range n {
@@ -221,10 +231,17 @@
 		records = append(records, radish.Record{Kind: radish.RecordVM, Name: p.self.Name, Revision: int64(i + 1), Value: value})
 		vms = append(vms, p)
 	}
+	for _, p := range vms {
+		p.mirror.ApplyUpTo(radish.RecordVM, records, int64(n))
+	}
+	return vms
+}
+
+func startPeersOn(t *testing.T, network *pipes, n int) []*testVM {
+	vms := newListedPeers(t, network, n)
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	for _, p := range vms {
-		p.mirror.ApplyUpTo(radish.RecordVM, records, int64(n))
 		wg.Go(func() { _ = p.node.Run(ctx) })
 		wg.Go(func() { _ = p.Run(ctx) })
 		synctest.Wait()
--- a/internal/radishsite/reset_test.go
+++ b/internal/radishsite/reset_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
+	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
 )
 
@@ -56,3 +58,41 @@
 		}
 	})
 }
+
+// TestReplayAllVMsStart starts sixteen VMs within 1.2 s, as after a loss of power: each counts on the VM that the list
+// of all names as coordinator, and not on whichever it has reached first.
+func TestReplayAllVMsStart(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const n, within = 16, 1200 * time.Millisecond
+		network := &pipes{listeners: make(map[string]chan net.Conn)}
+		vms := newListedPeers(t, network, n)
+		cores := make(map[string]float64)
+		var listeners []chan net.Conn
+		for _, p := range vms {
+			cores[p.self.Name] = 0
+			listeners = append(listeners, network.remove(p.self.Name))
+		}
+		owner := radishfleet.Coordinators(cores, "stages/0/1", 1)[0]
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for i, p := range vms {
+			wg.Go(func() {
+				time.Sleep(within * time.Duration(i) / n)
+				network.restore(p.self.Name, listeners[i])
+				wg.Go(func() { _ = p.node.Run(ctx) })
+				time.Sleep(time.Millisecond)
+				p.update()
+				for range 100 {
+					if first := p.owners(0, 1)[0]; first != owner {
+						t.Errorf("%s takes %s for the coordinator, not %s", p.self.Name, first, owner)
+						break
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(2 * within)
+		cancel()
+		wg.Wait()
+	})
+}
--- a/internal/radishtarget/dispatcher.go
+++ b/internal/radishtarget/dispatcher.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/singleflight"
 
+	"radishramp.example/radishramp/internal/radishlog"
 	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishpermit"
@@ -67,6 +69,7 @@
 	Picker  radish.Picker
 	Permits PermitSource
 	Metrics *radishmetric.Metrics
+	Log     hclog.Logger
 
 	budget RetryBudget
 	probes singleflight.Group
@@ -234,7 +237,10 @@
 		a.Sink = sink
 	}
 	began := d.Table.Start(target.Name)
+	sent := time.Now()
 	answer, err := d.Client.Do(ctx, a)
+	d.Log.Info("attempt ended", "id", call.RequestID, "attempt", a.ID, "service", call.Service.Name, "target", target.Name,
+		"is_cold", permit.ID != 0, "took_ms", time.Since(sent).Milliseconds(), "outcome", result(err), "error", radishlog.ErrorText(err))
 	d.Table.Finish(target.Name, began, answer, isTargetFault(ctx, err))
 	d.Metrics.Attempt(call.Service.Name, result(err))
 	if !IsRunKnownNot(err) {
--- a/internal/radishtarget/table.go
+++ b/internal/radishtarget/table.go
@@ -71,23 +71,54 @@
 	byService map[string][]*entry
 }
 
-// Update replaces the list of targets; what is known of those that stay is kept.
-func (t *Table) Update(targets []radish.Target, isDrained func(radish.Target) bool) {
+// Change is what an update of the list changed for one target.
+type Change struct {
+	Target string
+	// What is "target known", "target leaves", "target drained", "target back" or "target gone".
+	What string
+}
+
+// Update replaces the list of targets and returns what changed; what is known of those that stay is kept.
+func (t *Table) Update(targets []radish.Target, isDrained func(radish.Target) bool) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.entries
 	t.entries = make(map[string]*entry, len(targets))
 	t.byService = make(map[string][]*entry)
+	var changes []Change
 	for _, target := range targets {
 		e := old[target.Name]
 		if e == nil || e.target.Address != target.Address {
 			e = &entry{}
+			changes = append(changes, Change{Target: target.Name, What: "target known"})
 		}
+		before := e.listed()
 		e.target = target
 		e.drained = isDrained(target)
+		if now := e.listed(); now != before {
+			changes = append(changes, Change{Target: target.Name, What: now})
+		}
 		t.entries[target.Name] = e
 		t.byService[target.Service] = append(t.byService[target.Service], e)
 	}
+	for name := range old {
+		if t.entries[name] == nil {
+			changes = append(changes, Change{Target: name, What: "target gone"})
+		}
+	}
+	return changes
+}
+
+// listed tells what the list and the orders say of the target.
+func (e *entry) listed() string {
+	switch {
+	case e.drained:
+		return "target drained"
+	case e.target.Leaving:
+		return "target leaves"
+	default:
+		return "target back"
+	}
 }
 
 // Target returns the target with the name.
--- a/pkg/radishpeer/link.go
+++ b/pkg/radishpeer/link.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
+	"slices"
 	"syscall"
 	"time"
 
@@ -13,9 +15,21 @@
 	"radishramp.example/radishramp/pkg/radish"
 )
 
-// relinkTime is how long a peer whose connection was reset still counts as linked: it is dialled anew at once, and calls
-// wait for that. One reset of many connections would otherwise have every VM count on itself alone.
-const relinkTime = 600 * time.Millisecond
+const (
+	// relinkTime is how long a peer whose connection was reset still counts as in reach: it is dialled anew at once, and
+	// calls wait for that. One reset of many connections would otherwise have every VM count on itself alone.
+	relinkTime = 600 * time.Millisecond
+	// joinTime is how long a peer that is new in the list counts as in reach before the first link to it: VMs that start
+	// together would otherwise each count on those that they have reached first.
+	joinTime = 1500 * time.Millisecond
+)
+
+// awaited is a peer without a link that counts as in reach for a while.
+type awaited struct {
+	until time.Time
+	// isNew tells that there was no link yet: the peer may be about to start, so that a refused dial says little.
+	isNew bool
+}
 
 // link is an open session with a peer.
 type link struct {
@@ -34,8 +48,11 @@
 			delete(n.links, other)
 		}
 	}
+	if l := n.links[name]; l == nil || l.session != session {
+		n.Log.Info("peer linked", "peer", name)
+	}
 	n.links[name] = &link{session: session}
-	n.forgetReset(name)
+	n.stopWaiting(name)
 }
 
 // hasLink tells whether the session is known by the name.
@@ -46,7 +63,7 @@
 	return l != nil && (l.session == session || !l.session.IsClosed())
 }
 
-// dropLink forgets the session; a peer that is dialled anew after a reset counts as linked a while longer.
+// dropLink forgets the session; a peer that is dialled anew after a reset counts as in reach a while longer.
 func (n *Node) dropLink(session *yamux.Session, isReset bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -55,8 +72,9 @@
 			continue
 		}
 		delete(n.links, name)
+		n.Log.Warn("peer lost", "peer", name, "is_reset", isReset)
 		if isReset && n.isDialled(name) {
-			n.reset[name] = time.Now().Add(relinkTime)
+			n.awaited[name] = awaited{until: time.Now().Add(relinkTime)}
 		}
 	}
 }
@@ -71,44 +89,56 @@
 	return false
 }
 
-// forgetReset has nobody wait any longer for a link to the peer; the caller holds mu.
-func (n *Node) forgetReset(name string) {
-	delete(n.reset, name)
+// await counts a peer that is new in the list as in reach for a while; the caller holds mu.
+func (n *Node) await(name string) {
+	if n.links[name] == nil {
+		n.awaited[name] = awaited{until: time.Now().Add(joinTime), isNew: true}
+	}
+}
+
+// stopWaiting has nobody wait any longer for a link to the peer; the caller holds mu.
+func (n *Node) stopWaiting(name string) {
+	delete(n.awaited, name)
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
 
-// giveUpReset notes that a peer whose connection was reset cannot be dialled.
-func (n *Node) giveUpReset(name string) {
+// noteRefusal notes that a peer cannot be dialled.
+func (n *Node) noteRefusal(name string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, ok := n.reset[name]; ok {
-		n.forgetReset(name)
+	if a, ok := n.awaited[name]; ok && !a.isNew {
+		n.stopWaiting(name)
 	}
 }
 
-// Linked returns the names of the peers that can be called now, those included that are dialled anew after a reset.
+// Linked returns the names of the peers to which there is a link.
 func (n *Node) Linked() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Collect(maps.Keys(n.links))
+}
+
+// InReach returns the names of the peers that can be called: those with a link, and those that are being dialled and are
+// likely there, for which calls wait.
+func (n *Node) InReach() []string {
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	names := make([]string, 0, len(n.links))
-	for name := range n.links {
-		names = append(names, name)
-	}
-	for name, until := range n.reset {
-		if now.Before(until) {
+	names := slices.Collect(maps.Keys(n.links))
+	for name, a := range n.awaited {
+		if now.Before(a.until) && n.links[name] == nil {
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
-// session returns the link to the peer, and waits for it after a reset; ErrUnavailable when there is none.
+// session returns the link to the peer, and waits for one that is awaited; radish.ErrUnavailable when there is none.
 func (n *Node) session(ctx context.Context, name string) (*yamux.Session, error) {
 	for {
 		n.mu.Lock()
-		l, changed, wait := n.links[name], n.changed, time.Until(n.reset[name])
+		l, changed, wait := n.links[name], n.changed, time.Until(n.awaited[name].until)
 		n.mu.Unlock()
 		if l != nil {
 			return l.session, nil
@@ -128,14 +158,14 @@
 	}
 }
 
-// isRelinked tells whether the session broke, but the peer still counts as linked.
+// isRelinked tells whether the session broke, but the peer still counts as in reach.
 func (n *Node) isRelinked(name string, session *yamux.Session) bool {
 	if !session.IsClosed() {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.links[name] != nil || time.Now().Before(n.reset[name])
+	return n.links[name] != nil || time.Now().Before(n.awaited[name].until)
 }
 
 // CloseLink ends the session with the peer, as when its heartbeats have stopped.
@@ -143,8 +173,13 @@
 	n.mu.Lock()
 	l := n.links[name]
 	delete(n.links, name)
+	if _, ok := n.awaited[name]; ok {
+		n.stopWaiting(name)
+	}
 	n.mu.Unlock()
-	n.giveUpReset(name)
+	if l != nil {
+		n.Log.Warn("peer lost", "peer", name, "is_reset", false)
+	}
 	if l != nil {
 		_ = l.session.Close()
 	}
--- a/pkg/radishpeer/node.go
+++ b/pkg/radishpeer/node.go
@@ -37,6 +37,9 @@
 	DataCentre string
 }
 
+// peerKey tells a peer from one with the same name at another address.
+type peerKey struct{ name, address string }
+
 // Handler answers calls of peers.
 type Handler interface {
 	// Handle returns the response to a request of the peer named in it; an error reaches the caller as text.
@@ -58,10 +61,10 @@
 	mu    sync.Mutex
 	wg    sync.WaitGroup
 	links map[string]*link
-	// reset holds until when peers whose connection was reset count as linked; changed is closed when that ends early.
-	reset   map[string]time.Time
+	// awaited holds peers without a link that count as in reach; changed is closed when that ends early.
+	awaited map[string]awaited
 	changed chan struct{}
-	dials   map[string]context.CancelFunc
+	dials   map[peerKey]context.CancelFunc
 	peers   []Peer
 	root    context.Context
 
@@ -81,9 +84,9 @@
 	n.mu.Lock()
 	n.root = ctx
 	n.links = make(map[string]*link)
-	n.reset = make(map[string]time.Time)
+	n.awaited = make(map[string]awaited)
 	n.changed = make(chan struct{})
-	n.dials = make(map[string]context.CancelFunc)
+	n.dials = make(map[peerKey]context.CancelFunc)
 	n.dialPeers()
 	n.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { _ = n.Listener.Close() })
@@ -128,21 +131,23 @@
 }
 
 func (n *Node) dialPeers() {
-	wanted := make(map[string]bool, len(n.peers))
+	wanted := make(map[peerKey]bool, len(n.peers))
 	for _, p := range n.peers {
-		key := p.Name + "@" + p.Address
+		key := peerKey{name: p.Name, address: p.Address}
 		wanted[key] = true
 		if n.dials[key] != nil {
 			continue
 		}
 		ctx, cancel := context.WithCancel(n.root)
 		n.dials[key] = cancel
+		n.await(p.Name)
 		n.wg.Go(func() { n.keepLink(ctx, p) })
 	}
 	for key, cancel := range n.dials {
 		if !wanted[key] {
 			cancel()
 			delete(n.dials, key)
+			delete(n.awaited, key.name)
 		}
 	}
 }
@@ -157,7 +162,7 @@
 			wait.Reset()
 			n.serveConn(ctx, conn, p.Name)
 		} else {
-			n.giveUpReset(p.Name)
+			n.noteRefusal(p.Name)
 		}
 		select {
 		case <-ctx.Done():
--- a/pkg/radishroster/roster.go
+++ b/pkg/radishroster/roster.go
@@ -42,6 +42,10 @@
 	started time.Time
 	beats   map[string]beat
 	leaving bool
+
+	// isLost and lostAt tell, to the loop that reads the list, since when the platform does not answer.
+	isLost bool
+	lostAt time.Time
 }
 
 // Run reads the platform's list until ctx ends; while the platform is out, the last list stays in force.
@@ -59,13 +63,31 @@
 
 func (r *Roster) readList(ctx context.Context) {
 	vms, err := r.Platform.VMs(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	r.noteReach(err)
 	if err != nil {
-		r.Log.Debug("list of VMs not read", "error", err.Error())
 		return
 	}
 	r.setList(vms)
 }
 
+// noteReach logs when the platform is lost and regained.
+func (r *Roster) noteReach(err error) {
+	isLost := err != nil
+	switch {
+	case isLost && !r.isLost:
+		r.Log.Warn("platform lost", "error", err.Error())
+	case !isLost && r.isLost:
+		r.Log.Info("platform regained", "lost_ms", time.Since(r.lostAt).Milliseconds())
+	}
+	if isLost && !r.isLost {
+		r.lostAt = time.Now()
+	}
+	r.isLost = isLost
+}
+
 // OfferList takes in the list as a peer has it, unless this VM has read one itself.
 func (r *Roster) OfferList(vms []radish.VM) {
 	if !r.HasList() {
