Remove orders to targets, which the platform makes needless

The platform's engines load what they need themselves, its pages have no call for orders, and both users run there: nothing has used the steward's orders since. Gone are radishplacement, the rule placement, the field checks_fencing, two settings, a metric, spec/order.pml with its mutants, the stand-in's engine, and the tests of just this feature: ten in radishserve, radishplacement and radishrule, one in e2e.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -252,38 +252,3 @@
 		t.Errorf("the target began %d bookings, %d were answered", got, answered)
 	}
 }
-
-// TestKilledStewardOrdersAreTakenUp kills entry VMs in turn while a service's targets are being placed: those left
-// bring every target to the wanted state, and no target goes back.
-func TestKilledStewardOrdersAreTakenUp(t *testing.T) {
-	s := newSystem(t)
-	var engines []*radishstandin.Target
-	for i := range 4 {
-		engine := &radishstandin.Target{Name: fmt.Sprintf("llm-%d", i), Work: work, LoadFor: time.Second}
-		s.addTarget(engine, "llm")
-		engines = append(engines, engine)
-	}
-	entries := []*process{s.startEntry("entry-1"), s.startEntry("entry-2"), s.startEntry("entry-3")}
-	isPlaced := func() bool {
-		for _, engine := range engines {
-			if engine.Engine().Model != "writer" {
-				return false
-			}
-		}
-		return true
-	}
-	for _, entry := range entries[:2] {
-		time.Sleep(2 * time.Second)
-		_ = entry.cmd.Process.Kill()
-	}
-	for end := time.Now().Add(time.Minute); !isPlaced() && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-	}
-	if !isPlaced() {
-		t.Fatal("targets are not placed a minute after the last kill")
-	}
-	for _, engine := range engines {
-		if n := len(engine.Orders()); n != 1 {
-			t.Errorf("%s changed its engine %d times", engine.Name, n)
-		}
-	}
-}
--- a/internal/radishmetric/metric.go
+++ b/internal/radishmetric/metric.go
@@ -24,7 +24,6 @@
 	attempts metric.Int64Counter
 	retries  metric.Int64Counter
 	permits  metric.Int64Counter
-	orders   metric.Int64Counter
 	plans    metric.Int64Counter
 	calls    metric.Float64Histogram
 	pieces   metric.Int64Histogram
@@ -49,7 +48,7 @@
 }
 
 func (m *Metrics) createInstruments() error {
-	var errs [9]error
+	var errs [8]error
 	m.requests, errs[0] = m.meter.Int64Counter("radishramp_requests", metric.WithDescription("Requests by pipeline and outcome."))
 	m.latency, errs[1] = m.meter.Float64Histogram("radishramp_request_seconds",
 		metric.WithDescription("Time from a request's arrival to the end of its answer."),
@@ -57,11 +56,10 @@
 	m.attempts, errs[2] = m.meter.Int64Counter("radishramp_attempts", metric.WithDescription("Attempts by service and result; crossed and cut answers were dropped."))
 	m.retries, errs[3] = m.meter.Int64Counter("radishramp_retries", metric.WithDescription("Retries by service."))
 	m.permits, errs[4] = m.meter.Int64Counter("radishramp_permits", metric.WithDescription("Permits for cold targets asked for, by result."))
-	m.orders, errs[5] = m.meter.Int64Counter("radishramp_orders", metric.WithDescription("Orders to targets by service and outcome."))
-	m.plans, errs[6] = m.meter.Int64Counter("radishramp_plans", metric.WithDescription("Plans of stages at this coordinator by outcome."))
-	m.calls, errs[7] = m.meter.Float64Histogram("radishramp_stage_call_seconds", metric.WithDescription("Time of calls to stage targets by service and result."),
+	m.plans, errs[5] = m.meter.Int64Counter("radishramp_plans", metric.WithDescription("Plans of stages at this coordinator by outcome."))
+	m.calls, errs[6] = m.meter.Float64Histogram("radishramp_stage_call_seconds", metric.WithDescription("Time of calls to stage targets by service and result."),
 		metric.WithExplicitBucketBoundaries(.1, .2, .3, .4, .5, .7, 1, 2, 5))
-	m.pieces, errs[8] = m.meter.Int64Histogram("radishramp_stage_call_pieces", metric.WithDescription("Pieces of calls to stage targets by service."),
+	m.pieces, errs[7] = m.meter.Int64Histogram("radishramp_stage_call_pieces", metric.WithDescription("Pieces of calls to stage targets by service."),
 		metric.WithExplicitBucketBoundaries(1, 2, 5, 10, 20, 50))
 	return trace.NewAggregate(errs[:]...)
 }
@@ -83,7 +81,6 @@
 		"attempt": {"service", "result"},
 		"retry":   {"service", ""},
 		"permit":  {"result", ""},
-		"order":   {"service", "outcome"},
 		"plan":    {"outcome", ""},
 		"call":    {"service", "result"},
 		"pieces":  {"service", ""},
@@ -135,13 +132,6 @@
 	m.permits.Add(context.Background(), 1, m.set("permit", result, ""))
 }
 
-// Order counts an order to a target.
-func (m *Metrics) Order(service, outcome string) {
-	if m != nil {
-		m.orders.Add(context.Background(), 1, m.set("order", service, outcome))
-	}
-}
-
 // Plan counts a plan of stages.
 func (m *Metrics) Plan(outcome string) {
 	if m != nil {
--- a/internal/radishserve/build.go
+++ b/internal/radishserve/build.go
@@ -35,20 +35,15 @@
 	s.buildTargetClients()
 	s.buildMembership()
 	s.buildCold()
-	s.buildPlacement()
 	s.buildClaims()
 	s.buildEntry()
 	return s.addGauges()
 }
 
 func (s *Server) buildTargetClients() {
-	client := &radishtarget.Client{HTTP: &http.Client{Transport: radishtarget.NewTransport()}}
-	s.targets, s.orders = s.Targets, s.Orders
+	s.targets = s.Targets
 	if s.targets == nil {
-		s.targets = client
-	}
-	if s.orders == nil {
-		s.orders = client
+		s.targets = &radishtarget.Client{HTTP: &http.Client{Transport: radishtarget.NewTransport()}}
 	}
 }
 
--- a/internal/radishserve/cluster_test.go
+++ b/internal/radishserve/cluster_test.go
@@ -60,7 +60,6 @@
 	name   string
 	server *Server
 	view   *radishstandin.View
-	orders *radishstandin.Orderer
 	log    hclog.Logger
 	stop   context.CancelFunc
 	done   chan struct{}
@@ -80,8 +79,6 @@
 	stores   *radishconfig.Store
 	calls    sync.WaitGroup
 	log      logBuffer
-	// checksFencing tells whether model engines refuse old orders, and the rules say so.
-	checksFencing bool
 
 	mu       sync.Mutex
 	answers  []answer
@@ -160,9 +157,8 @@
 	cfg.Shutdown.BalancerWait = 500 * time.Millisecond
 	log := hclog.New(&hclog.LoggerOptions{Output: &c.log, JSONFormat: true, Level: hclog.Off}).With("vm", name)
 	v := &vm{name: name, log: log, view: &radishstandin.View{Platform: c.platform}, done: make(chan struct{})}
-	v.orders = &radishstandin.Orderer{Fleet: c.fleet}
 	v.server = &Server{
-		Settings: cfg, Log: log, Platform: v.view, Orders: v.orders,
+		Settings: cfg, Log: log, Platform: v.view,
 		Targets: &radishstandin.Reach{Fleet: c.fleet, Network: c.network, From: name + ":3"},
 		Listen:  func(address string) (net.Listener, error) { return c.network.Listen(address) },
 		Dial:    c.network.Dialer(name + ":3"),
--- a/internal/radishserve/peer_handler_test.go
+++ b/internal/radishserve/peer_handler_test.go
@@ -45,7 +45,7 @@
 	cfg := radishsetting.Default()
 	cfg.VM = radishsetting.VM{Name: "bandung-0", DataCentre: "bandung"}
 	cfg.Claim.BatchInterval = time.Millisecond
-	s := &Server{Settings: cfg, Log: hclog.NewNullLogger(), Platform: platform, Targets: &radishstandin.Fleet{}, Orders: &radishstandin.Orderer{}}
+	s := &Server{Settings: cfg, Log: hclog.NewNullLogger(), Platform: platform, Targets: &radishstandin.Fleet{}}
 	if err := s.Build(); err != nil {
 		f.Fatal(err)
 	}
--- a/internal/radishserve/server.go
+++ b/internal/radishserve/server.go
@@ -27,7 +27,6 @@
 	"radishramp.example/radishramp/pkg/radishlease"
 	"radishramp.example/radishramp/pkg/radishpeer"
 	"radishramp.example/radishramp/pkg/radishpermit"
-	"radishramp.example/radishramp/pkg/radishplacement"
 	"radishramp.example/radishramp/pkg/radishplatform"
 	"radishramp.example/radishramp/pkg/radishroster"
 	"radishramp.example/radishramp/pkg/radishrule"
@@ -55,13 +54,10 @@
 	Dial   func(ctx context.Context, address string) (net.Conn, error)
 	// Targets replaces the client of the targets in tests; nil builds one.
 	Targets radish.TargetClient
-	// Orders replaces the client for orders to targets in tests; nil builds one.
-	Orders radish.OrderClient
 
 	ctx         context.Context
 	platform    radish.Platform
 	targets     radish.TargetClient
-	orders      radish.OrderClient
 	metrics     *radishmetric.Metrics
 	burn        radishburn.Recorder
 	costs       radishpipeline.Costs
@@ -71,7 +67,6 @@
 	node        *radishpeer.Node
 	lease       *radishlease.Lease
 	steward     *radishpermit.Steward
-	placer      *radishplacement.Placer
 	ledger      *radishclaim.Ledger
 	claimWriter *radishclaim.BatchWriter
 	heartbeats  *heartbeats
@@ -164,7 +159,7 @@
 		Platform: s.platform, Window: s.Settings.Claim.Window,
 		IsChosen: func() bool { return s.roster.IsOwner("claim-sweep", 1) },
 	}
-	loops := []loop{s.placer, s.roster, s.node, s.lease, watcher, sweeper, s.heartbeats, s.poller, &coldReporter{server: s, steward: s.steward}}
+	loops := []loop{s.roster, s.node, s.lease, watcher, sweeper, s.heartbeats, s.poller, &coldReporter{server: s, steward: s.steward}}
 	for _, l := range loops {
 		radishgroup.AddLoop(background, group, l.Run)
 	}
--- a/internal/radishsetting/setting.go
+++ b/internal/radishsetting/setting.go
@@ -4,17 +4,16 @@
 
 // Settings are all settings of an entry VM.
 type Settings struct {
-	VM        VM        `setting:"vm"`
-	Caller    Caller    `setting:"caller"`
-	Operator  Operator  `setting:"operator"`
-	Peer      Peer      `setting:"peer"`
-	Platform  Platform  `setting:"platform"`
-	Routing   Routing   `setting:"routing"`
-	Claim     Claim     `setting:"claim"`
-	Permit    Permit    `setting:"permit"`
-	Placement Placement `setting:"placement"`
-	Shutdown  Shutdown  `setting:"shutdown"`
-	Log       Log       `setting:"log"`
+	VM       VM       `setting:"vm"`
+	Caller   Caller   `setting:"caller"`
+	Operator Operator `setting:"operator"`
+	Peer     Peer     `setting:"peer"`
+	Platform Platform `setting:"platform"`
+	Routing  Routing  `setting:"routing"`
+	Claim    Claim    `setting:"claim"`
+	Permit   Permit   `setting:"permit"`
+	Shutdown Shutdown `setting:"shutdown"`
+	Log      Log      `setting:"log"`
 }
 
 // VM names this VM and where it stands.
@@ -75,14 +74,6 @@
 	MaxPermit time.Duration `setting:"max_permit" validate:"min=100ms,max=60s"`
 }
 
-// Placement governs the orders that bring targets to the state that the rules want.
-type Placement struct {
-	// Interval is the time between two comparisons of the targets' reports with the rules.
-	Interval time.Duration `setting:"interval" validate:"min=500ms,max=60s"`
-	// OrderTimeout is the longest time that one order may take.
-	OrderTimeout time.Duration `setting:"order_timeout" validate:"min=100ms,max=30s"`
-}
-
 // Shutdown is how a VM leaves.
 type Shutdown struct {
 	// BalancerWait is how long the VM goes on accepting after it reports that it is not ready.
@@ -91,7 +82,7 @@
 	Grace time.Duration `setting:"grace" validate:"min=1s,max=300s"`
 }
 
-// Log sets the level of the JSON lines on standard error.
+// Log sets the level of the JSON lines on standard output.
 type Log struct {
 	Level string `setting:"level" validate:"oneof=trace debug info warn error"`
 }
@@ -99,16 +90,15 @@
 // Default returns the embedded defaults, which suit one VM on the loopback address.
 func Default() *Settings {
 	return &Settings{
-		VM:        VM{Name: "entry-1", DataCentre: "local"},
-		Caller:    Caller{Listen: "127.0.0.1:8080", MaxBodyBytes: 1 << 20, ReadTimeout: 10 * time.Second, WriteTimeout: 40 * time.Second, MaxInFlight: 2000},
-		Operator:  Operator{Listen: "127.0.0.1:8081"},
-		Peer:      Peer{Listen: "127.0.0.1:8082", HeartbeatInterval: time.Second},
-		Platform:  Platform{URL: "http://127.0.0.1:7000", CallsPerSec: 50, Timeout: 2 * time.Second, ListInterval: 2 * time.Second},
-		Routing:   Routing{Picker: "power_of_two", ReportInterval: time.Second, WarmBeliefTTL: 3 * time.Second},
-		Claim:     Claim{BatchInterval: 40 * time.Millisecond, Window: 24 * time.Hour},
-		Permit:    Permit{Lease: 4 * time.Second, MaxPermit: 6 * time.Second},
-		Placement: Placement{Interval: 5 * time.Second, OrderTimeout: 2 * time.Second},
-		Shutdown:  Shutdown{BalancerWait: 2 * time.Second, Grace: 35 * time.Second},
-		Log:       Log{Level: "info"},
+		VM:       VM{Name: "entry-1", DataCentre: "local"},
+		Caller:   Caller{Listen: "127.0.0.1:8080", MaxBodyBytes: 1 << 20, ReadTimeout: 10 * time.Second, WriteTimeout: 40 * time.Second, MaxInFlight: 2000},
+		Operator: Operator{Listen: "127.0.0.1:8081"},
+		Peer:     Peer{Listen: "127.0.0.1:8082", HeartbeatInterval: time.Second},
+		Platform: Platform{URL: "http://127.0.0.1:7000", CallsPerSec: 50, Timeout: 2 * time.Second, ListInterval: 2 * time.Second},
+		Routing:  Routing{Picker: "power_of_two", ReportInterval: time.Second, WarmBeliefTTL: 3 * time.Second},
+		Claim:    Claim{BatchInterval: 40 * time.Millisecond, Window: 24 * time.Hour},
+		Permit:   Permit{Lease: 4 * time.Second, MaxPermit: 6 * time.Second},
+		Shutdown: Shutdown{BalancerWait: 2 * time.Second, Grace: 35 * time.Second},
+		Log:      Log{Level: "info"},
 	}
 }
--- a/internal/radishstandin/target.go
+++ b/internal/radishstandin/target.go
@@ -49,10 +49,6 @@
 	RecordBegun bool
 	// ReportLag is the age of what load reports say.
 	ReportLag time.Duration
-	// ChecksFencing makes the target refuse orders with a lower fencing number than it took.
-	ChecksFencing bool
-	// LoadFor is how long the target loads, cold meanwhile, after an order that changes its engine.
-	LoadFor time.Duration
 
 	slots      chan struct{}
 	mu         sync.Mutex
@@ -69,9 +65,6 @@
 	faults     TargetFaults
 	report     radish.LoadReport
 	reportAt   time.Time
-	engine     radish.EngineReport
-	loadUntil  time.Time
-	orders     []TakenOrder
 }
 
 // TurnCold makes the target cold for d without a word.
@@ -153,8 +146,6 @@
 func (t *Target) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/load", t.getLoad)
-	mux.HandleFunc("GET /v1/engine", func(w http.ResponseWriter, _ *http.Request) { answerJSON(w, t.Engine(), nil) })
-	mux.HandleFunc("PUT /v1/engine", t.putEngine)
 	mux.HandleFunc("POST /v1/{stage}", t.postStage)
 	mux.HandleFunc("POST /control/faults", func(w http.ResponseWriter, r *http.Request) {
 		var f TargetFaults
@@ -194,7 +185,7 @@
 	switch {
 	case t.leaving:
 		return radish.TargetLeaving
-	case time.Now().Before(t.coldUntil), time.Now().Before(t.loadUntil):
+	case time.Now().Before(t.coldUntil):
 		return radish.TargetCold
 	default:
 		return radish.TargetWarm
--- a/pkg/radish/errors.go
+++ b/pkg/radish/errors.go
@@ -30,8 +30,6 @@
 	ErrBadRequest = errors.New("input refused by the target")
 	// ErrLeaseLost reports that a lease is not held or can lapse before the work ends.
 	ErrLeaseLost = errors.New("lease is not held")
-	// ErrFenced reports that a target has taken an order with a higher fencing number.
-	ErrFenced = errors.New("target has taken a newer order")
 	// ErrNoCapacity reports that a cold target bears no more work at present.
 	ErrNoCapacity = errors.New("cold target is at its capacity")
 	// ErrMayHaveRun reports that a non-idempotent stage may have run and its outcome is not known.
--- a/pkg/radishrule/rule_set.go
+++ b/pkg/radishrule/rule_set.go
@@ -42,9 +42,7 @@
 	Idempotent   bool   `rule:"idempotent"`
 	ColdCapacity int    `rule:"cold_capacity" validate:"min=1,max=1000"`
 	MaxInFlight  int    `rule:"max_in_flight" validate:"min=1,max=100000"`
-	// ChecksFencing tells whether the targets refuse orders with an old fencing number.
-	ChecksFencing bool `rule:"checks_fencing"`
-	Line          Line `rule:"-"`
+	Line         Line   `rule:"-"`
 }
 
 // Team is a customer, known by the SHA-256 of its bearer token.
@@ -104,7 +102,6 @@
 	Priorities map[LimitKey]*Priority
 	Retries    map[string]*Retry
 	Objectives map[string]*Objective
-	Placements map[PlacementKey]*Placement
 	Drains     []*Drain
 
 	// referring are the rules that name others.
@@ -116,7 +113,7 @@
 	return &RuleSet{
 		Pipelines: maps.Clone(s.Pipelines), Services: maps.Clone(s.Services), Teams: maps.Clone(s.Teams), Tokens: maps.Clone(s.Tokens),
 		Limits: maps.Clone(s.Limits), Priorities: maps.Clone(s.Priorities), Retries: maps.Clone(s.Retries),
-		Objectives: maps.Clone(s.Objectives), Placements: maps.Clone(s.Placements), Drains: slices.Clone(s.Drains), referring: slices.Clone(s.referring),
+		Objectives: maps.Clone(s.Objectives), Drains: slices.Clone(s.Drains), referring: slices.Clone(s.referring),
 	}
 }
 
@@ -137,7 +134,6 @@
 		Priorities: make(map[LimitKey]*Priority),
 		Retries:    make(map[string]*Retry),
 		Objectives: make(map[string]*Objective),
-		Placements: make(map[PlacementKey]*Placement),
 	}
 }
 
@@ -211,7 +207,6 @@
 		if r, ok := s.Retries[stage.Service]; ok {
 			lines = append(lines, r.Line)
 		}
-		lines = append(lines, s.placementLines(stage.Service)...)
 	}
 	for _, d := range s.Drains {
 		lines = append(lines, d.Line)
