Specify who coordinates (spec/coordinate.pml)

Two VMs send plans to the first choice over links that are reset, and the first choice may stand still.

--- a/tools/model.sh
+++ b/tools/model.sh
@@ -26,7 +26,7 @@
   )
 }
 
-for model in claim steward config mirror; do
+for model in claim steward config mirror coordinate; do
   read -r errors states incomplete < <(check "$model")
   if [ "$errors" = 0 ] && [ "$incomplete" = 0 ]; then
     echo "model: $model holds in all $states states"
