--- a/cmd/rules.go
+++ b/cmd/rules.go
@@ -51,6 +51,16 @@
 	File string `positional-arg-name:"FILE"`
 }
 
+// read returns the file's text and its rules.
+func (a fileArgument) read() (string, *radishrule.RuleSet, error) {
+	text, err := os.ReadFile(a.File)
+	if err != nil {
+		return "", nil, trace.ConvertSystemError(err)
+	}
+	set, err := radishrule.Parse(string(text))
+	return string(text), set, err
+}
+
 // rulesCheckCommand checks a file.
 type rulesCheckCommand struct {
 	Args fileArgument `positional-args:"yes" required:"yes"`
@@ -58,11 +68,7 @@
 
 // Execute implements flags.Commander.
 func (c *rulesCheckCommand) Execute([]string) error {
-	text, err := os.ReadFile(c.Args.File)
-	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	set, err := radishrule.Parse(string(text))
+	_, set, err := c.Args.read()
 	if err != nil {
 		return err
 	}
@@ -80,17 +86,13 @@
 
 // Execute implements flags.Commander.
 func (c *rulesApplyCommand) Execute([]string) error {
-	text, err := os.ReadFile(c.Args.File)
-	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	set, err := radishrule.Parse(string(text))
+	text, set, err := c.Args.read()
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), rulesTimeout)
 	defer cancel()
-	base := generationOf(string(text))
+	base := generationOf(text)
 	if c.Base != nil {
 		base = *c.Base
 	}
