--- a/cmd/doctor.go
+++ b/cmd/doctor.go
@@ -20,23 +20,29 @@
 
 func init() {
 	subcommands.Register("doctor", subcommand{
-		short: "Check what an entry VM depends on", long: "Check settings, platform, rules and the list of VMs.", command: &doctorCommand{},
+		short:   "Check what an entry VM depends on",
+		long:    "Check settings, platform, rules and the list of VMs; with --site the settings, the store and the seeds of a VM on the users' platform.",
+		command: &doctorCommand{},
 	})
 }
 
 // doctorCommand checks what an entry VM depends on.
 type doctorCommand struct {
 	Config string `short:"c" long:"config" description:"Settings file, JSON with comments" value-name:"FILE"`
+	Site   string `long:"site" description:"Settings file of the users' platform, checked in place of the own interface" value-name:"FILE"`
 }
 
 // Execute implements flags.Commander.
 func (c *doctorCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), doctorTimeout)
+	defer cancel()
+	if c.Site != "" {
+		return failures(checkSite(ctx, c.Site))
+	}
 	cfg, err := radishsetting.Load(c.Config)
 	if !report("settings", err, "valid") {
 		return errors.New("the other checks need valid settings")
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), doctorTimeout)
-	defer cancel()
 	client := &radishplatform.Client{BaseURL: cfg.Platform.URL, Timeout: cfg.Platform.Timeout}
 	checks := []func(context.Context, *radishsetting.Settings, *radishplatform.Client) bool{checkList, checkRules}
 	failed := 0
@@ -45,6 +51,10 @@
 			failed++
 		}
 	}
+	return failures(failed)
+}
+
+func failures(failed int) error {
 	if failed > 0 {
 		return trace.Errorf("%d checks failed", failed)
 	}
