--- a/internal/radishstage/router.go
+++ b/internal/radishstage/router.go
@@ -25,7 +25,7 @@
 	// Call returns the peer's response; radish.ErrUnavailable when there is no link or it breaks, radish.ErrReset as well
 	// when the link is opened anew.
 	Call(ctx context.Context, name string, req *radishpeerpb.Request) (*radishpeerpb.Response, error)
-	// Ping returns once the peer has answered.
+	// Ping returns once the peer has answered; radish.ErrSilent when it has not over an open link before ctx ends.
 	Ping(ctx context.Context, name string) error
 	// CloseLink ends the link to the peer and the calls over it.
 	CloseLink(name string)
--- a/internal/radishstage/watch.go
+++ b/internal/radishstage/watch.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
 )
 
 const (
@@ -104,12 +107,15 @@
 	}
 }
 
+// probe leaves a VM that does not answer over an open link. A link that breaks meanwhile is dialled anew, and a probe that
+// took far too long shows that this VM has stood still itself.
 func (r *Router) probe(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	began := time.Now()
 	err := r.Peers.Ping(ctx, name)
 	r.watch.probed(name, time.Now(), err == nil)
-	if err != nil {
+	if errors.Is(err, radish.ErrSilent) && time.Since(began) < 2*probeTimeout && !errors.Is(ctx.Err(), context.Canceled) {
 		r.Log.Warn("coordinator silent, link closed", "peer", name, "silent_ms", (silenceTime + probeTimeout).Milliseconds(), "error", err.Error())
 		r.suspect(name)
 		r.Peers.CloseLink(name)
--- a/pkg/radish/errors.go
+++ b/pkg/radish/errors.go
@@ -12,6 +12,8 @@
 	ErrAmbiguous = errors.New("outcome of the update is unknown")
 	// ErrUnavailable reports that the platform or a peer did not answer and the call had no effect.
 	ErrUnavailable = errors.New("not available")
+	// ErrSilent reports that a peer has not answered over an open link in time.
+	ErrSilent = errors.New("peer is silent")
 	// ErrReset reports that the link to a peer broke, though the peer is likely there: it is dialled anew.
 	ErrReset = errors.New("link was reset")
 	// ErrNoTarget reports that no target of a service may take the attempt.
--- a/pkg/radishpeer/node.go
+++ b/pkg/radishpeer/node.go
@@ -249,16 +249,22 @@
 	return res, nil
 }
 
-// Ping returns once the named peer has answered; ErrUnavailable when there is no link or it breaks.
+// Ping returns once the named peer has answered; radish.ErrSilent when it has not before ctx ends, radish.ErrUnavailable
+// when there is no open link or it breaks, which tells nothing of the peer.
 func (n *Node) Ping(ctx context.Context, name string) error {
-	session, err := n.session(ctx, name)
-	if err != nil {
-		return err
+	session := n.linkTo(name)
+	if session == nil {
+		return trace.Wrap(radish.ErrUnavailable, "no open link to %s", name)
 	}
-	if _, err := n.callSession(ctx, session, &radishpeerpb.Request{From: n.Name}); err != nil {
+	_, err := n.callSession(ctx, session, &radishpeerpb.Request{From: n.Name})
+	switch {
+	case err == nil:
+		return nil
+	case !session.IsClosed():
+		return trace.Wrap(radish.ErrSilent, "ping of %s: %v", name, err)
+	default:
 		return trace.Wrap(radish.ErrUnavailable, "ping of %s: %v", name, err)
 	}
-	return nil
 }
 
 func (n *Node) callSession(ctx context.Context, session *yamux.Session, req *radishpeerpb.Request) (*radishpeerpb.Response, error) {
