Revert the shared attempts in an outage; a checker hears of changes after a silent one

TestCheckerHearsOfChangesAfterASilentOutage plays it without processes: it fails on the reverted code and passes now.

--- a/internal/radishsite/loop.go
+++ b/internal/radishsite/loop.go
@@ -34,13 +34,12 @@
 
 func (s *Server) addLoops(background context.Context, group *run.Group) {
 	add := func(loop func(context.Context) error) { radishgroup.AddLoop(background, group, loop) }
-	outage := &radishsync.Outage{}
 	for _, kind := range radish.RecordKinds {
 		f := &radishsync.Follower{
 			Kind: kind, Store: s.Store, Mirror: &s.mirror, OnReach: s.beliefs.reach, Log: s.Log.Named("store"),
 			Pause: pauses[kind], CheckerPause: checkerPause, CheckInterval: checkIntervals[kind], IsChecker: func() bool { return s.peers.isChecker(kind) },
-			IsFollower: func() bool { return s.peers.isFollower(kind) }, Outage: outage,
-			OnNews: func(news []radish.Record) { s.peers.takeNews(news, "store") },
+			IsFollower: func() bool { return s.peers.isFollower(kind) },
+			OnNews:     func(news []radish.Record) { s.peers.takeNews(news, "store") },
 		}
 		add(f.Run)
 	}
--- a/internal/radishsync/follower.go
+++ b/internal/radishsync/follower.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -43,12 +42,7 @@
 	CheckInterval time.Duration
 	// OnReach is called after each call with whether the store answered it.
 	OnReach func(reached bool)
-	// Outage is shared by the followers of one VM.
-	Outage *Outage
-	Log    hclog.Logger
-
-	// isAway tells that the last call of this follower failed.
-	isAway atomic.Bool
+	Log     hclog.Logger
 }
 
 // Run follows the store until ctx ends.
@@ -70,14 +64,14 @@
 func (f *Follower) check(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, f.CheckInterval*3/4+rand.N(f.CheckInterval/2))
-		if ctx.Err() != nil || !f.IsChecker() || f.Mirror.Complete(f.Kind) == 0 || f.isAway.Load() {
+		if ctx.Err() != nil || !f.IsChecker() || f.Mirror.Complete(f.Kind) == 0 {
 			continue
 		}
 		records, at, err := f.Store.List(ctx, f.Kind)
 		if ctx.Err() != nil {
 			return
 		}
-		f.noteReach(err == nil)
+		f.OnReach(err == nil)
 		if err != nil {
 			f.Log.Warn("check of the store failed", "kind", string(f.Kind), "error", err.Error())
 			continue
@@ -99,7 +93,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		f.noteReach(err == nil || errors.Is(err, radish.ErrHistoryGone))
+		f.OnReach(err == nil || errors.Is(err, radish.ErrHistoryGone))
 		switch {
 		case err == nil:
 			revision, pause = next, retryFirst
@@ -111,22 +105,12 @@
 		default:
 			f.Log.Warn("call to the store failed", "kind", string(f.Kind), "revision", revision, "error", err.Error(), "pause_ms", pause.Milliseconds())
 		}
-		f.Outage.Wait(ctx, pause)
+		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(retryLimit, 2*pause)
 	}
 	return ctx.Err()
 }
 
-func (f *Follower) noteReach(reached bool) {
-	f.OnReach(reached)
-	f.isAway.Store(!reached)
-	if reached {
-		f.Outage.Answered()
-		return
-	}
-	f.Outage.Failed(time.Now())
-}
-
 func (f *Follower) step(ctx context.Context, revision int64) (int64, error) {
 	if revision == 0 {
 		records, at, err := f.Store.List(ctx, f.Kind)
--- a/internal/radishsync/follower_test.go
+++ b/internal/radishsync/follower_test.go
@@ -114,7 +114,7 @@
 	mirror := &radishmirror.Mirror{}
 	f := &Follower{
 		Kind: radish.RecordConfig, Store: store, Mirror: mirror, Pause: 500 * time.Millisecond, CheckerPause: 100 * time.Millisecond,
-		CheckInterval: time.Second, IsChecker: func() bool { return isChecker }, IsFollower: func() bool { return !store.left() }, OnNews: func([]radish.Record) {}, OnReach: func(bool) {}, Outage: &Outage{},
+		CheckInterval: time.Second, IsChecker: func() bool { return isChecker }, IsFollower: func() bool { return !store.left() }, OnNews: func([]radish.Record) {}, OnReach: func(bool) {},
 		Log: hclog.NewNullLogger(),
 	}
 	done := make(chan struct{})
@@ -247,3 +247,23 @@
 		}
 	})
 }
+
+// TestCheckerHearsOfChangesAfterASilentOutage takes the store away, first with failures and then in silence, so that a
+// watch is left that is never answered: a VM that is alone hears of a change within two seconds of the store's return.
+func TestCheckerHearsOfChangesAfterASilentOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		mirror := follow(t, store, true)
+		time.Sleep(time.Second)
+		store.set(func() { store.away = true })
+		store.put("a")
+		time.Sleep(100 * time.Millisecond)
+		store.set(func() { store.away, store.silent = false, true })
+		time.Sleep(5 * time.Second)
+		store.put("b")
+		time.Sleep(2 * time.Second)
+		if known(mirror) != 2 {
+			t.Errorf("%d of 2 changes are known", known(mirror))
+		}
+	})
+}
--- a/pkg/radishpeer/link.go
+++ b/pkg/radishpeer/link.go
@@ -179,8 +179,6 @@
 	n.mu.Unlock()
 	if l != nil {
 		n.Log.Warn("peer lost", "peer", name, "is_reset", false)
-	}
-	if l != nil {
 		_ = l.session.Close()
 	}
 }
