--- a/pkg/radishpeer/ping_test.go
+++ b/pkg/radishpeer/ping_test.go
@@ -4,14 +4,10 @@
 	"context"
 	"errors"
 	"net"
-	"runtime"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"radishramp.example/radishramp/pkg/radish"
 )
 
@@ -32,29 +28,10 @@
 // its context race, and one whose link is closed.
 func TestPingTellsSilence(t *testing.T) {
 	const tries, timeout = 40, 20 * time.Millisecond
-	// yamux keeps timers in a pool; those of bubbles may not be used here.
-	runtime.GC()
-	runtime.GC()
 	near, far := net.Pipe()
-	conns := make(chan net.Conn, 1)
-	conns <- far
 	conn := &muteConn{Conn: near}
-	a := &Node{
-		Name: "a", Listener: idleListener{done: make(chan struct{})}, Handler: noHandler{}, Log: hclog.NewNullLogger(),
-		Dial: func(context.Context, string) (net.Conn, error) { return conn, nil },
-	}
-	b := &Node{
-		Name: "b", Listener: oneListener{idleListener: idleListener{done: make(chan struct{})}, conns: conns}, Handler: noHandler{},
-		Log: hclog.NewNullLogger(),
-	}
-	a.SetPeers([]Peer{{Name: "b", Address: "b:1"}})
-	ctx, cancel := context.WithCancel(t.Context())
-	var nodes sync.WaitGroup
-	nodes.Go(func() { _ = a.Run(ctx) })
-	nodes.Go(func() { _ = b.Run(ctx) })
-	for end := time.Now().Add(2 * time.Second); a.linkTo("b") == nil && time.Now().Before(end); {
-		time.Sleep(10 * time.Millisecond)
-	}
+	ctx, a, stop := startPair(t, conn, far, noHandler{})
+	defer stop()
 	if err := a.Ping(ctx, "b"); err != nil {
 		t.Errorf("a peer that answers: %v", err)
 	}
@@ -70,6 +47,4 @@
 	if err := a.Ping(ctx, "b"); !errors.Is(err, radish.ErrUnavailable) {
 		t.Errorf("a closed link: %v", err)
 	}
-	cancel()
-	nodes.Wait()
 }
--- a/pkg/radishpeer/spin_test.go
+++ b/pkg/radishpeer/spin_test.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"net"
-	"runtime"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
 )
 
@@ -36,21 +32,6 @@
 	return nil, ctx.Err()
 }
 
-// oneListener accepts one connection.
-type oneListener struct {
-	idleListener
-	conns chan net.Conn
-}
-
-func (l oneListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
 func processorTime(t *testing.T) time.Duration {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
@@ -63,28 +44,9 @@
 // processor time, which a VM with one processor needs to end the session.
 func TestWaitingCallDoesNotSpin(t *testing.T) {
 	const takes = 500 * time.Millisecond
-	// yamux keeps timers in a pool; those of bubbles may not be used here.
-	runtime.GC()
-	runtime.GC()
 	near, far := net.Pipe()
-	conns := make(chan net.Conn, 1)
-	conns <- far
-	a := &Node{
-		Name: "a", Listener: idleListener{done: make(chan struct{})}, Handler: noHandler{}, Log: hclog.NewNullLogger(),
-		Dial: func(context.Context, string) (net.Conn, error) { return &slowCloseConn{Conn: near, takes: takes}, nil },
-	}
-	b := &Node{
-		Name: "b", Listener: oneListener{idleListener: idleListener{done: make(chan struct{})}, conns: conns}, Handler: slowHandler{},
-		Log: hclog.NewNullLogger(),
-	}
-	a.SetPeers([]Peer{{Name: "b", Address: "b:1"}})
-	ctx, cancel := context.WithCancel(t.Context())
-	var nodes sync.WaitGroup
-	nodes.Go(func() { _ = a.Run(ctx) })
-	nodes.Go(func() { _ = b.Run(ctx) })
-	for end := time.Now().Add(2 * time.Second); a.linkTo("b") == nil && time.Now().Before(end); {
-		time.Sleep(10 * time.Millisecond)
-	}
+	ctx, a, stop := startPair(t, &slowCloseConn{Conn: near, takes: takes}, far, slowHandler{})
+	defer stop()
 	called := make(chan error)
 	go func() {
 		_, err := a.Call(ctx, "b", &radishpeerpb.Request{Body: &radishpeerpb.Request_Free{Free: &radishpeerpb.FreeRequest{}}})
@@ -99,6 +61,4 @@
 	if spent := processorTime(t) - before; spent > takes/5 {
 		t.Errorf("%v of processor time while the session ended, which took %v", spent, takes)
 	}
-	cancel()
-	nodes.Wait()
 }
