Log the prompts of attempts and whether the target of a cut attempt is down

Callers saw: calls cut off in series while targets ended one after the other; the logs could not tell why. Cause: no line named the parts of a prompt, and a cut connection was logged alike whether its target had ended or not. Change: `attempt ended` names the parts and the events relayed; after a cut attempt the VM opens one connection to the target, shared by all calls that were cut there, and logs `attempt cut` with the result; metric radishramp_cut_attempts.

--- a/cmd/site.go
+++ b/cmd/site.go
@@ -68,7 +68,7 @@
 	host, _, _ := net.SplitHostPort(site.CallerAddress)
 	return &radishsite.Server{
 		InitialSettings: site, Store: &radishadapter.StoreClient{Address: site.StoreAddress, HTTP: &http.Client{Transport: radishadapter.NewTransport(true)}},
-		Decoder: radishadapter.RecordDecoder{}, Forwarder: targets, StageClient: targets, Log: log,
+		Decoder: radishadapter.RecordDecoder{}, Forwarder: targets, Prober: targets, StageClient: targets, Log: log,
 		MetricsAddress: net.JoinHostPort(host, metricsPort),
 		NewCallerHandler: func(handler radish.CallHandler, maxBody func() int64, isLeaving func() bool) http.Handler {
 			return &radishadapter.FrontEnd{Handler: handler, MaxBody: maxBody, IsLeaving: isLeaving}
--- a/internal/radishmetric/metric.go
+++ b/internal/radishmetric/metric.go
@@ -22,6 +22,7 @@
 	requests       metric.Int64Counter
 	requestSeconds metric.Float64Histogram
 	attempts       metric.Int64Counter
+	cutAttempts    metric.Int64Counter
 	retries        metric.Int64Counter
 	permits        metric.Int64Counter
 	plans          metric.Int64Counter
@@ -49,7 +50,7 @@
 }
 
 func (m *Metrics) createInstruments() error {
-	var errs [8]error
+	var errs [9]error
 	m.requests, errs[0] = m.meter.Int64Counter("radishramp_requests", metric.WithDescription("Requests by pipeline and outcome."))
 	m.requestSeconds, errs[1] = m.meter.Float64Histogram("radishramp_request_seconds",
 		metric.WithDescription("Time from a request's arrival to the end of its answer."),
@@ -62,6 +63,8 @@
 		metric.WithExplicitBucketBoundaries(.1, .2, .3, .4, .5, .7, 1, 2, 5))
 	m.callPieces, errs[7] = m.meter.Int64Histogram("radishramp_stage_call_pieces", metric.WithDescription("Pieces of calls to stage targets by service."),
 		metric.WithExplicitBucketBoundaries(1, 2, 5, 10, 20, 50))
+	m.cutAttempts, errs[8] = m.meter.Int64Counter("radishramp_cut_attempts",
+		metric.WithDescription("Attempts whose connection ended before the response was complete, by service and state of the target."))
 	return trace.NewAggregate(errs[:]...)
 }
 
@@ -81,6 +84,7 @@
 	names := map[string][2]string{
 		"request": {"pipeline", "outcome"},
 		"attempt": {"service", "result"},
+		"cut":     {"service", "target"},
 		"retry":   {"service", ""},
 		"permit":  {"result", ""},
 		"plan":    {"outcome", ""},
@@ -115,6 +119,18 @@
 	}
 }
 
+// RecordCutAttempt records an attempt whose connection ended before the response was complete, and whether its target is down.
+func (m *Metrics) RecordCutAttempt(service string, isTargetDown bool) {
+	if m == nil {
+		return
+	}
+	target := "up"
+	if isTargetDown {
+		target = "down"
+	}
+	m.cutAttempts.Add(context.Background(), 1, m.attributeOption("cut", service, target))
+}
+
 // RecordRetry records a retry.
 func (m *Metrics) RecordRetry(service string) {
 	if m != nil {
--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -159,7 +159,7 @@
 	if e.service.IsEngine {
 		req.Priority = min(maxTargetPriority, e.route.PriorityOf(e.team))
 	}
-	e.attemptTimeout, e.attemptStartedAt = req.Timeout, time.Now()
+	e.attemptTimeout, e.attemptStartedAt, e.attemptEvents = req.Timeout, time.Now(), 0
 	inputBytesByDataCentre := e.inputBytesByDataCentre()
 	resp, err := e.relay.Forwarder.Forward(ctx, req)
 	d, outcome := e.handleResponse(ctx, t, resp, err)
@@ -171,7 +171,10 @@
 		"record_age_ms", snapshot.RecordAge.Milliseconds(), "busy", snapshot.CallsInFlight, "failure_share", snapshot.FailureRate,
 		"error_share", snapshot.ErrorRate,
 		"cold", snapshot.IsCold, "usable", snapshot.UsableTargets, "targets", snapshot.TotalTargets, "resume_after", req.ResumeAfter,
-		"input_bytes", inputBytesByDataCentre, "error", radishlog.ErrorText(err))
+		"input_bytes", inputBytesByDataCentre, "prompt", promptIDs(e.call.Prompt), "events", e.attemptEvents, "error", radishlog.ErrorText(err))
+	if outcome.Cut {
+		e.recordCutAttempt(t)
+	}
 	return d
 }
 
@@ -253,7 +256,7 @@
 func (e *exchange) outcomeWithoutResponse(ctx context.Context, unreachable bool) radishfleet.Outcome {
 	switch {
 	case ctx.Err() == nil:
-		return radishfleet.Outcome{Failed: true, Unreachable: unreachable}
+		return radishfleet.Outcome{Failed: true, Unreachable: unreachable, Cut: !unreachable}
 	case callerLeft(ctx) || e.attemptTimeout < e.route.LatencyObjective:
 		return radishfleet.Outcome{Inconclusive: true}
 	default:
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/singleflight"
 
 	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/internal/radishstage"
@@ -46,9 +47,11 @@
 	// Config returns the current configuration, or nil until the first one arrives.
 	Config func() *radishroute.Config
 	// ConfigAge returns the time since the current configuration took effect on this VM.
-	ConfigAge   func() time.Duration
-	Fleet       *radishfleet.Fleet
-	Forwarder   radish.Forwarder
+	ConfigAge func() time.Duration
+	Fleet     *radishfleet.Fleet
+	Forwarder radish.Forwarder
+	// Prober checks the targets at which an attempt was cut. If it is nil, they are not checked.
+	Prober      radish.TargetProber
 	Stages      StageRunner
 	RetryBudget *radishtarget.RetryBudget
 	// RetryRatio returns the ratio of retries to calls that each service is allowed.
@@ -58,6 +61,7 @@
 	Metrics *radishmetric.Metrics
 	Log     hclog.Logger
 
+	probes             singleflight.Group
 	initOnce, stopOnce sync.Once
 	stopCh             chan struct{}
 }
@@ -101,6 +105,8 @@
 	attemptTimeout     time.Duration
 	// attemptStartedAt is when the latest attempt was sent.
 	attemptStartedAt time.Time
+	// attemptEvents is the number of events that the latest attempt has relayed.
+	attemptEvents int
 	// lastEventID is the ID of the last event relayed to the caller.
 	lastEventID     string
 	responseStarted bool
--- a/internal/radishrelay/stream.go
+++ b/internal/radishrelay/stream.go
@@ -40,6 +40,7 @@
 			e.freeInputs()
 		}
 		e.recordEventGap()
+		e.attemptEvents++
 		if _, err := e.w.Write(event); err != nil {
 			e.outcome = outcomeCallerLeft
 			return decisionDone, radishfleet.Outcome{}
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -59,10 +59,12 @@
 	LoadSettings func() (*radish.PlatformSettings, error)
 	// SettingsChanged receives a value when the settings may have changed. If nil, the settings are only polled at an
 	// interval.
-	SettingsChanged  <-chan os.Signal
-	Store            radish.RecordStore
-	Decoder          Decoder
-	Forwarder        radish.Forwarder
+	SettingsChanged <-chan os.Signal
+	Store           radish.RecordStore
+	Decoder         Decoder
+	Forwarder       radish.Forwarder
+	// Prober checks targets at which an attempt was cut. If it is nil, they are not checked.
+	Prober           radish.TargetProber
 	StageClient      radish.StageClient
 	NewCallerHandler CallerHandlerFactory
 	// MetricsAddress is the listen address as IP:PORT. If empty, no metrics are served.
@@ -107,7 +109,7 @@
 		Log: s.Log.Named("stage"),
 	}
 	s.relay = &radishrelay.Relay{
-		Config: s.state.config.Load, ConfigAge: s.state.configAge, Fleet: s.fleet, Forwarder: s.Forwarder, Stages: s.peers.router,
+		Config: s.state.config.Load, ConfigAge: s.state.configAge, Fleet: s.fleet, Forwarder: s.Forwarder, Prober: s.Prober, Stages: s.peers.router,
 		RetryBudget: &radishtarget.RetryBudget{Burst: s.retryBurst},
 		RetryRatio:  func() float64 { return s.currentSettings.Load().RetryBudgetRatio },
 		Engines:     &radishengine.Estimator{}, Metrics: s.metrics, Log: s.Log.Named("call"),
--- a/pkg/radish/send.go
+++ b/pkg/radish/send.go
@@ -65,6 +65,12 @@
 	Forward(ctx context.Context, s *ForwardRequest) (*TargetResponse, error)
 }
 
+// TargetProber checks targets without sending them a request.
+type TargetProber interface {
+	// IsDown reports whether no process listens at the target's address. It is false if this cannot be determined.
+	IsDown(ctx context.Context, t Target) bool
+}
+
 // Piece is one unit of work of a stage; pieces are sent to targets in batches.
 type Piece struct {
 	// CallID is the id of the call that needs the piece.
--- a/pkg/radishfleet/outcome.go
+++ b/pkg/radishfleet/outcome.go
@@ -13,6 +13,8 @@
 	// ErrorResponse is whether the target executed the call and responded with a server error, which may be the fault of the
 	// target or of the call.
 	ErrorResponse bool
+	// Cut is whether the connection to the target ended before the response was complete; Failed is then set too.
+	Cut bool
 	// Rejected is whether the target rejected the call.
 	Rejected bool
 	// Unreachable is whether no connection to the target could be opened.
