Tests that a part of a prompt crashes target after target, which fail

Callers saw: sound calls cut off or refused while calls with one part of a prompt ended model targets in series. Cause: open; known red, to be removed with the fix.

--- /dev/null
+++ b/e2e/deadly_test.go
@@ -0,0 +1,163 @@
+package e2e_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"radishramp.example/radishramp/platform/radishadaptertest"
+)
+
+const (
+	// deadlyPart is the part of a prompt that crashes engines.
+	deadlyPart = "dead00"
+	// stabilityWindow is the time that VMs have to stop sending calls with such a part, from the fifth crash on.
+	stabilityWindow = 3 * time.Second
+	// maxDeadlyArrivals is how many of these calls may reach engines after that.
+	maxDeadlyArrivals = 3
+	// engineDownTime is the time between the crash of an engine and its restart.
+	engineDownTime = time.Second
+)
+
+// crashes counts what reaches the engines of a test.
+type crashes struct {
+	mu       sync.Mutex
+	at       []time.Time
+	arrivals []time.Time
+}
+
+// lateArrivals returns how many calls with the deadly part arrived later than the stability window after the fifth crash.
+func (c *crashes) lateArrivals() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.at) < 5 {
+		return 0
+	}
+	late := 0
+	for _, at := range c.arrivals {
+		if at.Sub(c.at[4]) > stabilityWindow {
+			late++
+		}
+	}
+	return late
+}
+
+func (c *crashes) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.at)
+}
+
+// crashingEngine is an engine that crashes when it starts to respond to a call with the deadly part.
+type crashingEngine struct {
+	t       *testing.T
+	target  *radishadaptertest.Target
+	crashes *crashes
+
+	mu     sync.Mutex
+	server *http.Server
+}
+
+// start serves at the engine's address, or at a new one if it has none yet.
+func (e *crashingEngine) start() error {
+	address := e.target.Address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	e.target.Address = listener.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: time.Second}
+	e.mu.Lock()
+	e.server = server
+	e.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+func (e *crashingEngine) serve(w http.ResponseWriter, r *http.Request) {
+	if !strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart) {
+		e.target.Handler().ServeHTTP(w, r)
+		return
+	}
+	e.crashes.mu.Lock()
+	e.crashes.arrivals = append(e.crashes.arrivals, time.Now())
+	e.crashes.mu.Unlock()
+	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	w.Header().Set("Response-Stamp", "signed")
+	w.Header().Set("Content-Type", "text/event-stream")
+	_ = http.NewResponseController(w).Flush()
+	e.crash()
+	panic(http.ErrAbortHandler)
+}
+
+// crash closes all connections at once and restarts the engine after a while, unless it has crashed already.
+func (e *crashingEngine) crash() {
+	e.mu.Lock()
+	server := e.server
+	e.server = nil
+	e.mu.Unlock()
+	if server == nil {
+		return
+	}
+	_ = server.Close()
+	e.crashes.mu.Lock()
+	e.crashes.at = append(e.crashes.at, time.Now())
+	e.crashes.mu.Unlock()
+	time.AfterFunc(engineDownTime, func() {
+		if err := e.start(); err != nil {
+			e.t.Logf("engine %s not restarted: %v", e.target.ID, err)
+		}
+	})
+}
+
+// TestPromptPartCrashesEnginesOfAllVMs sends calls with a part of the prompt that crashes engines to three VMs in turn, beside sound
+// ones with the same team and first part.
+func TestPromptPartCrashesEnginesOfAllVMs(t *testing.T) {
+	s := newSiteCluster(t)
+	s.store.Remove("servers", s.engineTarget.ID)
+	seen := &crashes{}
+	for i := range 10 {
+		engine := &crashingEngine{t: t, crashes: seen, target: &radishadaptertest.Target{ID: fmt.Sprint("crashing-", i), Events: 5, Delay: 5 * time.Millisecond}}
+		if err := engine.start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			engine.mu.Lock()
+			defer engine.mu.Unlock()
+			if engine.server != nil {
+				_ = engine.server.Close()
+			}
+		})
+		s.store.Put("servers", engine.target.ID, engine.target.Record("engine", "bandung", "ready"))
+	}
+	vms := []*siteVM{s.startVM("vm-1"), s.startVM("vm-2"), s.startVM("vm-3")}
+	answered, sent := 0, 0
+	for i, startedAt := 0, time.Now(); time.Since(startedAt) < 4*stabilityWindow; i++ {
+		vm := vms[i%len(vms)]
+		prompt := fmt.Sprintf("aa:80,b%d:20,%s:20,c%d:20", i%9, deadlyPart, i)
+		if status, body := s.call(vm, "/stream/x", map[string]string{"Model": "m", "Token-Usage": "140,40", "Prompt-Prefix": prompt}); status == http.StatusOK {
+			t.Errorf("call with the deadly part: got status %d, body %q", status, body)
+		}
+		status, _ := s.call(vm, "/stream/x", map[string]string{"Model": "m", "Token-Usage": "120,40", "Prompt-Prefix": fmt.Sprintf("aa:80,b%d:20,d%d:20", i%9, i)})
+		if time.Since(startedAt) > 2*stabilityWindow {
+			sent++
+			if status == http.StatusOK {
+				answered++
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if late := seen.lateArrivals(); late > maxDeadlyArrivals {
+		t.Errorf("%d calls with the part reached engines later than %v after the fifth of %d crashes, want at most %d", late, stabilityWindow, seen.count(), maxDeadlyArrivals)
+	}
+	if 2*answered < sent {
+		t.Errorf("%d of %d sound calls were answered, want at least half", answered, sent)
+	}
+}
--- /dev/null
+++ b/internal/radishrelay/deadly_test.go
@@ -0,0 +1,82 @@
+package radishrelay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishroute"
+)
+
+// Bounds on calls with a part of a prompt that crashes targets: from deadlyGrace after the deadlyCrashes-th crash, at most
+// maxDeadlyArrivals of them may reach targets.
+const (
+	deadlyCrashes     = 5
+	deadlyGrace       = 3 * time.Second
+	maxDeadlyArrivals = 3
+)
+
+// deadlyTargets crash whenever they start to respond to a call whose prompt contains the part "deadly".
+type deadlyTargets struct{ crashedAt []time.Time }
+
+func (d *deadlyTargets) respond(ctx context.Context, req *radish.ForwardRequest) (*radish.TargetResponse, error) {
+	if slices.Contains(promptIDs(req.Call.Prompt), "deadly") {
+		d.crashedAt = append(d.crashedAt, time.Now())
+		return nil, errReset
+	}
+	return streamsEvents(3, false)(ctx, req)
+}
+
+// countLate returns the number of crashes later than allowed.
+func (d *deadlyTargets) countLate() int {
+	late := 0
+	for _, at := range d.crashedAt {
+		if len(d.crashedAt) >= deadlyCrashes && at.Sub(d.crashedAt[deadlyCrashes-1]) > deadlyGrace {
+			late++
+		}
+	}
+	return late
+}
+
+func promptOf(ids ...string) []radish.PromptPart {
+	parts := make([]radish.PromptPart, len(ids))
+	for i, id := range ids {
+		parts[i] = radish.PromptPart{ID: id, Tokens: 100}
+	}
+	return parts
+}
+
+// TestPromptPartCrashesTargetAfterTarget sends calls with a part of the prompt that crashes targets, between sound ones with the same
+// team and other parts. Few of the former may reach targets; the latter must be answered.
+func TestPromptPartCrashesTargetAfterTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := &deadlyTargets{}
+		relay, _ := newRelay(&radishroute.Route{Kind: radishroute.KindStream, IsResumable: true, MaxAttempts: 2}, targets.respond)
+		relay.Prober = fakeProber(func(string) bool { return true })
+		unanswered := 0
+		for i := range 60 {
+			call := newCall()
+			call.Prompt = promptOf("first", fmt.Sprint("subject-", i%7), "deadly", fmt.Sprint("own-", i))
+			if w := handle(t.Context(), relay, call); w.status == http.StatusOK {
+				t.Errorf("deadly call %d: status %d", i, w.status)
+			}
+			call = newCall()
+			call.Prompt = promptOf("first", fmt.Sprint("subject-", i%7), fmt.Sprint("own-", i))
+			if w := handle(t.Context(), relay, call); w.status != http.StatusOK {
+				unanswered++
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if late := targets.countLate(); late > maxDeadlyArrivals {
+			t.Errorf("%d of %d crashes came later than %v after the fifth, want at most %d", late, len(targets.crashedAt), deadlyGrace, maxDeadlyArrivals)
+		}
+		if unanswered > 0 {
+			t.Errorf("%d of 60 sound calls were not answered", unanswered)
+		}
+	})
+}
