Refuse calls with a part of a prompt that crashes targets

Callers saw: sound calls cut off or refused (up to half of them) while calls with one part of a prompt ended target after target. Cause: each cut call was repeated at another target, by the VM and by its caller, and nothing remembered across calls and VMs what the calls under which targets ended had in common. Class of fault: a request that crashes its server, carried on by retries. Change: after a cut attempt the VM checks whether the target refuses connections. If so, the parts of the call's prompt but the last are suspected, until a call with them is answered after the crash. VMs exchange this evidence; it only grows, so the order of the exchanges does not matter.

--- a/internal/radishrelay/cut.go
+++ b/internal/radishrelay/cut.go
@@ -2,18 +2,64 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"time"
 
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishquarantine"
 )
 
 // probeTimeout limits the check of a target at which an attempt was cut. The call's next attempt waits for the result.
 const probeTimeout = 100 * time.Millisecond
 
+// answeredEvents is the number of events of a stream from which on the target is known to have survived the start of the response.
+const answeredEvents = 2
+
+// checkQuarantine decides whether the call may be sent; if it returns false, the call must be refused.
+func (e *exchange) checkQuarantine() (radish.Refusal, bool) {
+	parts := sharedPromptIDs(e.call.Prompt)
+	if e.isTrial || len(parts) == 0 {
+		return radish.Refusal{}, true
+	}
+	d := e.relay.Quarantine.Check(parts, time.Now())
+	if d.Verdict == radishquarantine.Once {
+		e.isTrial = true
+		e.relay.Log.Info("call with suspected prompt tried", "id", e.call.ID, "parts", d.Group.Parts, "crashes", d.Group.Crashes)
+	}
+	if d.Verdict != radishquarantine.Refused {
+		return radish.Refusal{}, true
+	}
+	reason := fmt.Sprintf("targets ended %d times under calls with the prompt parts %s", d.Group.Crashes, strings.Join(d.Group.Parts, ", "))
+	if e.possibleExecutions > 0 {
+		return radish.Refusal{Kind: radish.RefusalTargetFailed, Reason: reason}, false
+	}
+	return radish.Refusal{Kind: radish.RefusalNotExecuted, RetryAfter: d.RetryAfter, Reason: reason}, false
+}
+
+// recordAnswer records that a target responds to the call, which clears the parts of its prompt.
+func (e *exchange) recordAnswer() {
+	if e.relay.Quarantine.RecordAnswer(e.service.Name, sharedPromptIDs(e.call.Prompt), time.Now()) {
+		e.relay.reportEvidence()
+	}
+}
+
+func (r *Relay) reportEvidence() {
+	if r.OnEvidence != nil {
+		r.OnEvidence()
+	}
+}
+
 // recordCutAttempt records what the call of a cut attempt consists of and whether its target is down, so that calls that were cut
 // because their targets ended can be compared.
 func (e *exchange) recordCutAttempt(t radish.Target) {
 	isDown := e.relay.isDown(t)
+	if isDown && e.attemptEvents < answeredEvents {
+		parts := sharedPromptIDs(e.call.Prompt)
+		if len(parts) > 0 && e.relay.Quarantine.RecordCrash(t.Name, e.service.Name, parts, time.Now()) {
+			e.relay.reportEvidence()
+		}
+	}
 	e.relay.Metrics.RecordCutAttempt(e.service.Name, isDown)
 	e.relay.Log.Info("attempt cut", "id", e.call.ID, "target", t.Name, "target_down", isDown, "service", e.service.Name, "route", e.routeName(),
 		"team", e.teamName(), "prompt", promptIDs(e.call.Prompt), "input_tokens", e.call.InputTokens, "events", e.attemptEvents)
@@ -40,3 +86,8 @@
 	}
 	return ids
 }
+
+// sharedPromptIDs returns the IDs of the parts of a prompt but the last, which belongs to the call itself.
+func sharedPromptIDs(prompt []radish.PromptPart) []string {
+	return promptIDs(prompt[:max(0, len(prompt)-1)])
+}
--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -50,6 +50,10 @@
 // forward sends the call to one target after another until it gets a response or may not be retried.
 func (e *exchange) forward(ctx context.Context) {
 	for unexecuted := 0; ; {
+		if refusal, ok := e.checkQuarantine(); !ok {
+			e.refuse(refusal)
+			return
+		}
 		t, ok := e.pickTarget(ctx)
 		if !ok {
 			e.refuseNoTarget(ctx)
@@ -66,7 +70,7 @@
 			}
 		case d == decisionRetryUnexecuted && unexecuted < maxUnexecutedAttempts && e.spendRetryBudget(ctx):
 			unexecuted++
-		case d == decisionRetry && e.route.IsIdempotent() && e.possibleExecutions < e.route.MaxAttempts && e.spendRetryBudget(ctx):
+		case d == decisionRetry && !e.isTrial && e.route.IsIdempotent() && e.possibleExecutions < e.route.MaxAttempts && e.spendRetryBudget(ctx):
 		default:
 			e.refuseUnanswered(ctx, d)
 			return
@@ -285,6 +289,7 @@
 	}
 	if len(body) < maxBufferedBytes {
 		e.outcome = outcomeAnswered
+		e.recordAnswer()
 		return decisionDone, radishfleet.Outcome{ErrorResponse: isError}
 	}
 	return e.relayRemainder(ctx, resp)
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -17,6 +17,7 @@
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishengine"
 	"radishramp.example/radishramp/pkg/radishfleet"
+	"radishramp.example/radishramp/pkg/radishquarantine"
 	"radishramp.example/radishramp/pkg/radishroute"
 )
 
@@ -51,7 +52,11 @@
 	Fleet     *radishfleet.Fleet
 	Forwarder radish.Forwarder
 	// Prober checks the targets at which an attempt was cut. If it is nil, they are not checked.
-	Prober      radish.TargetProber
+	Prober radish.TargetProber
+	// Quarantine decides which calls are not sent because a part of their prompt crashes targets.
+	Quarantine *radishquarantine.Quarantine
+	// OnEvidence is called when the quarantine has new evidence; nil means that nothing is to be done.
+	OnEvidence  func()
 	Stages      StageRunner
 	RetryBudget *radishtarget.RetryBudget
 	// RetryRatio returns the ratio of retries to calls that each service is allowed.
@@ -105,6 +110,8 @@
 	attemptTimeout     time.Duration
 	// attemptStartedAt is when the latest attempt was sent.
 	attemptStartedAt time.Time
+	// isTrial is whether the call may be sent to one target only, since a part of its prompt is suspected to crash targets.
+	isTrial bool
 	// attemptEvents is the number of events that the latest attempt has relayed.
 	attemptEvents int
 	// lastEventID is the ID of the last event relayed to the caller.
@@ -161,6 +168,9 @@
 			Kind: radish.RefusalBadRequest, Reason: fmt.Sprintf("%d pieces of one stage, at most %d are taken", n, radishstage.MaxPieces),
 		}, false
 	}
+	if refusal, ok := e.checkQuarantine(); !ok {
+		return refusal, false
+	}
 	e.relay.RetryBudget.RecordAttempt(e.service.Name, e.relay.RetryRatio())
 	timeout := defaultTimeout
 	if e.call.Timeout > 0 {
--- a/internal/radishrelay/relay_test.go
+++ b/internal/radishrelay/relay_test.go
@@ -18,6 +18,7 @@
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishengine"
 	"radishramp.example/radishramp/pkg/radishfleet"
+	"radishramp.example/radishramp/pkg/radishquarantine"
 	"radishramp.example/radishramp/pkg/radishroute"
 )
 
@@ -145,7 +146,7 @@
 		Config: func() *radishroute.Config { return cfg }, ConfigAge: func() time.Duration { return 0 },
 		Fleet: fleet, Forwarder: forwarder, Stages: &fakeStages{freed: make(chan []string, 10)},
 		RetryBudget: &radishtarget.RetryBudget{Burst: func() float64 { return 5 }}, RetryRatio: func() float64 { return 1 },
-		Engines: &radishengine.Estimator{}, Log: hclog.NewNullLogger(),
+		Engines: &radishengine.Estimator{}, Quarantine: &radishquarantine.Quarantine{}, Log: hclog.NewNullLogger(),
 	}, forwarder
 }
 
--- a/internal/radishrelay/stream.go
+++ b/internal/radishrelay/stream.go
@@ -41,6 +41,9 @@
 		}
 		e.recordEventGap()
 		e.attemptEvents++
+		if e.attemptEvents == answeredEvents {
+			e.recordAnswer()
+		}
 		if _, err := e.w.Write(event); err != nil {
 			e.outcome = outcomeCallerLeft
 			return decisionDone, radishfleet.Outcome{}
@@ -65,6 +68,7 @@
 		e.startResponse(resp)
 	}
 	e.outcome = outcomeAnswered
+	e.recordAnswer()
 	return decisionDone, radishfleet.Outcome{}
 }
 
--- a/internal/radishsite/gossip.go
+++ b/internal/radishsite/gossip.go
@@ -37,8 +37,12 @@
 func (p *peerManager) gossipToPeers(ctx context.Context) {
 	linked := p.node.Linked()
 	rand.Shuffle(len(linked), func(i, j int) { linked[i], linked[j] = linked[j], linked[i] })
+	h := p.heartbeat()
+	if p.hasNewCrashes.Swap(false) {
+		h.Crashes = p.encodeCrashes()
+	}
 	for _, name := range linked[:min(len(linked), gossipFanout)] {
-		go p.exchangeHeartbeats(ctx, name)
+		go p.exchangeHeartbeats(ctx, name, h)
 	}
 }
 
@@ -64,7 +68,7 @@
 		if len(linked) == 0 {
 			continue
 		}
-		p.exchangeHeartbeats(ctx, linked[rand.IntN(len(linked))])
+		p.exchangeHeartbeats(ctx, linked[rand.IntN(len(linked))], p.heartbeat())
 	}
 	return ctx.Err()
 }
@@ -73,6 +77,7 @@
 	h := &radishpeerpb.SiteHeartbeat{
 		Vm: p.self.Name, DataCentre: p.self.DataCentre, PeerAddress: p.self.Address, Incarnation: p.self.Incarnation, Leaving: p.isLeaving(),
 		Complete: make(map[string]int64), StoreAway: p.state.isStoreUnreachable(), CoordinatorsDigest: p.coordinatorsDigest(),
+		CrashesDigest: p.quarantine.Digest(),
 	}
 	for _, kind := range radish.RecordKinds {
 		h.Complete[string(kind)] = p.mirror.CompleteRevision(kind)
@@ -80,21 +85,24 @@
 	return h
 }
 
-// heartbeatTo returns this VM's heartbeat as the response to a peer's. It contains the coordinators only if the peer knows others,
-// since they rarely change.
+// heartbeatTo returns this VM's heartbeat as the response to a peer's. It contains the coordinators and the crashes of targets only
+// if the peer knows others, since they rarely change.
 func (p *peerManager) heartbeatTo(peer *radishpeerpb.SiteHeartbeat) *radishpeerpb.SiteHeartbeat {
 	h := p.heartbeat()
 	if h.GetCoordinatorsDigest() != peer.GetCoordinatorsDigest() {
 		h.Coordinators = p.shardCoordinators()
 	}
+	if h.GetCrashesDigest() != peer.GetCrashesDigest() {
+		h.Crashes = p.encodeCrashes()
+	}
 	return h
 }
 
-// exchangeHeartbeats sends a heartbeat to a peer and fetches the records that are newer at the peer.
-func (p *peerManager) exchangeHeartbeats(ctx context.Context, name string) {
+// exchangeHeartbeats sends the heartbeat to a peer and fetches the records that are newer at the peer.
+func (p *peerManager) exchangeHeartbeats(ctx context.Context, name string, h *radishpeerpb.SiteHeartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
-	res, err := p.node.Call(ctx, name, &radishpeerpb.Request{Body: &radishpeerpb.Request_Site{Site: p.heartbeat()}})
+	res, err := p.node.Call(ctx, name, &radishpeerpb.Request{Body: &radishpeerpb.Request_Site{Site: h}})
 	if err != nil {
 		p.log.Warn("heartbeat exchange failed, closing the peer's link", "peer", name, "error", err.Error())
 		p.node.CloseLink(name)
--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -14,6 +15,7 @@
 	"radishramp.example/radishramp/pkg/radishmirror"
 	"radishramp.example/radishramp/pkg/radishpeer"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
+	"radishramp.example/radishramp/pkg/radishquarantine"
 )
 
 // announceTimeout limits the time to notify all peers that this VM is shutting down.
@@ -25,13 +27,17 @@
 	node   *radishpeer.Node
 	mirror *radishmirror.Mirror
 	state  *clusterState
-	router *radishstage.Router
+	// quarantine holds the evidence on crashes of targets, which the VMs exchange.
+	quarantine *radishquarantine.Quarantine
+	router     *radishstage.Router
 	// seeds returns peer addresses of other VMs, some of which may be stale.
 	seeds     func() []string
 	isLeaving func() bool
 	log       hclog.Logger
 	// gossipNow holds one element while changes are waiting to be announced to peers.
 	gossipNow chan struct{}
+	// hasNewCrashes is whether peers have not been notified of the newest evidence on crashes.
+	hasNewCrashes atomic.Bool
 
 	mu  sync.Mutex
 	vms map[string]radish.VMRecord
@@ -134,6 +140,7 @@
 func (p *peerManager) handleHeartbeat(h *radishpeerpb.SiteHeartbeat) {
 	p.recordPeerState(h)
 	p.mergeCoordinators(h.GetCoordinators())
+	p.mergeCrashes(h.GetCrashes(), h.GetVm())
 }
 
 // recordPeerState records whether the peer reaches the store and whether it is leaving.
--- a/internal/radishsite/peer_test.go
+++ b/internal/radishsite/peer_test.go
@@ -18,6 +18,7 @@
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishpeer"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
+	"radishramp.example/radishramp/pkg/radishquarantine"
 )
 
 // testVM is one VM with a flag that puts it into shutdown.
@@ -32,7 +33,7 @@
 func newTestVM(network *pipeNetwork, name string, seeds func() []string) *testVM {
 	state, shutdown := newTestState(), &atomic.Bool{}
 	p := &peerManager{
-		self: radish.VMRecord{Name: name, Address: name + ":1", DataCentre: "a", Incarnation: 1}, mirror: state.mirror, state: state,
+		self: radish.VMRecord{Name: name, Address: name + ":1", DataCentre: "a", Incarnation: 1}, mirror: state.mirror, state: state, quarantine: &radishquarantine.Quarantine{},
 		seeds: seeds, log: hclog.NewNullLogger(), gossipNow: make(chan struct{}, 1), isLeaving: shutdown.Load,
 	}
 	listener := network.listen(p.self.Address)
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -30,6 +30,7 @@
 	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishmirror"
 	"radishramp.example/radishramp/pkg/radishpeer"
+	"radishramp.example/radishramp/pkg/radishquarantine"
 )
 
 const (
@@ -73,6 +74,7 @@
 
 	mirror          radishmirror.Mirror
 	fleet           *radishfleet.Fleet
+	quarantine      *radishquarantine.Quarantine
 	state           *clusterState
 	peers           *peerManager
 	metrics         *radishmetric.Metrics
@@ -95,12 +97,13 @@
 	s.coordinators = make(map[[2]int]*radishstage.Coordinator)
 	s.fleet = &radishfleet.Fleet{DataCentre: s.InitialSettings.DataCentre, ColdQuota: s.coldQuota}
 	s.state = &clusterState{decoder: s.Decoder, mirror: &s.mirror, fleet: s.fleet, log: s.Log.Named("belief"), onChange: s.redispatchAll}
+	s.quarantine = &radishquarantine.Quarantine{IsTrialVM: func(group string) bool { return s.peers.isTrialVM(group) }}
 	self := radish.VMRecord{
 		Name: s.InitialSettings.VM, Address: s.InitialSettings.PeerAddress, DataCentre: s.InitialSettings.DataCentre,
 		Incarnation: 1 + rand.Int64N(math.MaxInt64), Cores: s.InitialSettings.Cores,
 	}
 	s.peers = &peerManager{
-		self: self, mirror: &s.mirror, state: s.state, seeds: func() []string { return s.currentSettings.Load().Seeds },
+		self: self, mirror: &s.mirror, state: s.state, quarantine: s.quarantine, seeds: func() []string { return s.currentSettings.Load().Seeds },
 		isLeaving: s.leaving.Load, log: s.Log.Named("peer"), gossipNow: make(chan struct{}, 1),
 	}
 	s.peers.node = &radishpeer.Node{Name: self.Name, Handler: s.peers, Dial: dialPeer, Log: s.Log.Named("link")}
@@ -112,7 +115,7 @@
 		Config: s.state.config.Load, ConfigAge: s.state.configAge, Fleet: s.fleet, Forwarder: s.Forwarder, Prober: s.Prober, Stages: s.peers.router,
 		RetryBudget: &radishtarget.RetryBudget{Burst: s.retryBurst},
 		RetryRatio:  func() float64 { return s.currentSettings.Load().RetryBudgetRatio },
-		Engines:     &radishengine.Estimator{}, Metrics: s.metrics, Log: s.Log.Named("call"),
+		Engines:     &radishengine.Estimator{}, Quarantine: s.quarantine, OnEvidence: s.peers.shareCrashes, Metrics: s.metrics, Log: s.Log.Named("call"),
 	}
 	return s.registerGauges()
 }
@@ -135,6 +138,9 @@
 		{"radishramp_panics", "Requests and calls of peers that ended because their handler panicked.", func() float64 {
 			return float64(s.panics.Load() + s.peers.node.Panics())
 		}},
+		{"radishramp_quarantined_groups", "Groups of prompt parts whose calls are refused because they crash targets.", func() float64 {
+			return float64(len(s.quarantine.Groups(time.Now())))
+		}},
 		{"radishramp_store_away", "1 while the store does not answer.", func() float64 { return radishmetric.BoolValue(s.state.isStoreUnreachable()) }},
 		{"radishramp_is_ready", "1 while the VM says that it is ready.", func() float64 { return radishmetric.BoolValue(s.isReady()) }},
 	}
