Exchange evidence on crashes both ways

Cause: only the VM that starts an exchange received evidence that differs, so that a VM that knew more had to be asked by a peer. Change: a VM that notices in the response that the peer lacks evidence sends it. The test now waits until the last crash is 3 s old, the stability window, in place of 1 s, which no stated target gives.

--- a/internal/radishsite/crash.go
+++ b/internal/radishsite/crash.go
@@ -1,6 +1,7 @@
 package radishsite
 
 import (
+	"context"
 	"math"
 	"time"
 
@@ -34,6 +35,21 @@
 	return encoded
 }
 
+// hasMoreCrashes reports whether this VM has evidence on crashes that the peer lacked when it sent its heartbeat.
+func (p *peerManager) hasMoreCrashes(peer *radishpeerpb.SiteHeartbeat) bool {
+	digest := p.quarantine.Digest()
+	return digest != 0 && digest != peer.GetCrashesDigest()
+}
+
+// sendCrashes sends this VM's evidence on crashes to one peer.
+func (p *peerManager) sendCrashes(ctx context.Context, name string) {
+	h := p.heartbeat()
+	h.Crashes = p.encodeCrashes()
+	if _, err := p.node.Call(ctx, name, &radishpeerpb.Request{Body: &radishpeerpb.Request_Site{Site: h}}); err != nil {
+		p.log.Warn("cannot send crashes of targets to peer", "peer", name, "error", err.Error())
+	}
+}
+
 // mergeCrashes takes over the evidence of a peer and passes on what is new.
 func (p *peerManager) mergeCrashes(reports []*radishpeerpb.TargetCrash, peer string) {
 	if len(reports) == 0 {
--- a/internal/radishsite/crash_test.go
+++ b/internal/radishsite/crash_test.go
@@ -37,7 +37,7 @@
 }
 
 // TestVMsCompareEvidenceOnCrashes has one VM know of crashes without having notified its peers, so that these learn of them only by
-// comparing their evidence, as restarted VMs do.
+// comparing their evidence, as restarted VMs do. The last crash is 3 s old in the end, as long as the stability window.
 func TestVMsCompareEvidenceOnCrashes(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		vms := startVMs(t, 5)
@@ -45,6 +45,7 @@
 			vms[0].quarantine.RecordCrash(fmt.Sprint("target-", i), "s", []string{"deadly"}, time.Now())
 			time.Sleep(time.Second)
 		}
+		time.Sleep(2 * time.Second)
 		for _, vm := range vms[1:] {
 			if d := vm.quarantine.Check([]string{"deadly"}, time.Now()); d.Verdict != radishquarantine.Refused {
 				t.Errorf("%s: verdict %v on a call with the part", vm.self.Name, d.Verdict)
--- a/internal/radishsite/gossip.go
+++ b/internal/radishsite/gossip.go
@@ -109,6 +109,9 @@
 		return
 	}
 	p.handleHeartbeat(res.GetSite())
+	if len(h.GetCrashes()) == 0 && p.hasMoreCrashes(res.GetSite()) {
+		p.sendCrashes(ctx, name)
+	}
 	p.fetchNewer(name, res.GetSite())
 }
 
