Eject targets that refuse connections at once

Callers saw: calls after a crash tried up to five targets that had ended, and some were refused as rejected by all targets. Cause: a target was ejected after two failures in a row, also if it refused the connection, which no process that serves does; engines were chosen by affinity until then. Each VM and each call found out for itself. Change: a refused connection, and a cut attempt whose target then refuses connections, ejects the target. Stage targets likewise.

--- a/internal/radishrelay/cut.go
+++ b/internal/radishrelay/cut.go
@@ -51,8 +51,8 @@
 }
 
 // recordCutAttempt records what the call of a cut attempt consists of and whether its target is down, so that calls that were cut
-// because their targets ended can be compared.
-func (e *exchange) recordCutAttempt(t radish.Target) {
+// because their targets ended can be compared. It reports whether the target is down.
+func (e *exchange) recordCutAttempt(t radish.Target) bool {
 	isDown := e.relay.isDown(t)
 	if isDown && e.attemptEvents < answeredEvents {
 		parts := sharedPromptIDs(e.call.Prompt)
@@ -63,6 +63,7 @@
 	e.relay.Metrics.RecordCutAttempt(e.service.Name, isDown)
 	e.relay.Log.Info("attempt cut", "id", e.call.ID, "target", t.Name, "target_down", isDown, "service", e.service.Name, "route", e.routeName(),
 		"team", e.teamName(), "prompt", promptIDs(e.call.Prompt), "input_tokens", e.call.InputTokens, "events", e.attemptEvents)
+	return isDown
 }
 
 // isDown reports whether no process listens at the target's address. Concurrent checks of a target share one connection.
--- a/internal/radishrelay/cut_test.go
+++ b/internal/radishrelay/cut_test.go
@@ -3,10 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -44,3 +48,44 @@
 		t.Errorf("metrics do not contain %q", want)
 	}
 }
+
+// TestReplayCallsAfterCrashes replays calls right after three of five targets have ended: few of them may try such a target.
+func TestReplayCallsAfterCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refused := 0
+		relay, _ := newRelay(&radishroute.Route{Kind: radishroute.KindIdempotent, MaxAttempts: 2}, func(ctx context.Context, req *radish.ForwardRequest) (*radish.TargetResponse, error) {
+			if req.Target.Name < "t3" {
+				refused++
+				return nil, fmt.Errorf("%w: %w", radish.ErrNotSent, syscall.ECONNREFUSED)
+			}
+			return respondsWith(http.StatusOK, "ok")(ctx, req)
+		})
+		relay.Config().Services["s"].IsEngine = true
+		for i := range 50 {
+			call := newCall()
+			call.Prompt = promptOf(fmt.Sprint("shared-", i%10), "own")
+			handle(t.Context(), relay, call)
+			time.Sleep(10 * time.Millisecond)
+		}
+		if refused > 3 {
+			t.Errorf("%d attempts at targets that refuse connections, want at most one each", refused)
+		}
+	})
+}
+
+// TestTargetOfCutAttemptIsEjected has one target end under a call: the calls after it must not try that target.
+func TestTargetOfCutAttemptIsEjected(t *testing.T) {
+	relay, forwarder := newRelay(&radishroute.Route{Kind: radishroute.KindAtMostOnce}, failsWith(errReset), respondsWith(http.StatusOK, "ok"))
+	relay.Prober = fakeProber(func(string) bool { return true })
+	relay.Config().Services["s"].IsEngine = true
+	for range 20 {
+		call := newCall()
+		call.Prompt = promptOf("shared", "own")
+		handle(t.Context(), relay, call)
+	}
+	for _, req := range forwarder.sends[1:] {
+		if req.Target.Name == forwarder.sends[0].Target.Name {
+			t.Fatalf("%s got another call", req.Target.Name)
+		}
+	}
+}
--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -168,6 +168,9 @@
 	resp, err := e.relay.Forwarder.Forward(ctx, req)
 	d, outcome := e.handleResponse(ctx, t, resp, err)
 	outcome.Load = loadOf(resp)
+	if outcome.Cut {
+		outcome.Down = e.recordCutAttempt(t)
+	}
 	e.relay.Fleet.Done(t.Name, outcome, time.Now())
 	e.relay.Metrics.RecordAttempt(e.service.Name, attemptLabel(d, outcome))
 	e.relay.Log.Info("attempt ended", "id", e.call.ID, "target", t.Name, "data_centre", t.DataCentre, "verdict", attemptLabel(d, outcome),
@@ -176,9 +179,6 @@
 		"error_share", snapshot.ErrorRate,
 		"cold", snapshot.IsCold, "usable", snapshot.UsableTargets, "targets", snapshot.TotalTargets, "resume_after", req.ResumeAfter,
 		"input_bytes", inputBytesByDataCentre, "prompt", promptIDs(e.call.Prompt), "events", e.attemptEvents, "error", radishlog.ErrorText(err))
-	if outcome.Cut {
-		e.recordCutAttempt(t)
-	}
 	return d
 }
 
@@ -232,7 +232,9 @@
 	}
 	if errors.Is(err, radish.ErrNotSent) {
 		e.triedTargets[t.Name] = true
-		return decisionRetryUnexecuted, e.outcomeWithoutResponse(ctx, true)
+		outcome := e.outcomeWithoutResponse(ctx, true)
+		outcome.Down = outcome.Failed && radishfleet.IsRefused(err)
+		return decisionRetryUnexecuted, outcome
 	}
 	if err != nil {
 		e.possibleExecutions++
--- a/internal/radishstage/stage_call.go
+++ b/internal/radishstage/stage_call.go
@@ -166,7 +166,9 @@
 			item.AvoidTarget = ""
 		}
 	} else {
-		c.Fleet.Report(call.target.Name, radishfleet.Outcome{Failed: true, Unreachable: errors.Is(call.err, radish.ErrNotSent)}, now)
+		c.Fleet.Report(call.target.Name, radishfleet.Outcome{
+			Failed: true, Unreachable: errors.Is(call.err, radish.ErrNotSent), Down: radishfleet.IsRefused(call.err),
+		}, now)
 	}
 	c.Log.Warn("stage call failed", "target", call.target.Name, "service", call.service, "pieces", len(call.items), "error", call.err.Error())
 	c.requeue(call.service, call.items)
--- a/pkg/radishfleet/fleet_test.go
+++ b/pkg/radishfleet/fleet_test.go
@@ -332,3 +332,25 @@
 		t.Errorf("picked %s, whose address has another target", picked.Name)
 	}
 }
+
+// TestReplayTargetsRefuseConnections replays calls while two of three targets refuse connections. Each may get one call until it is
+// ejected.
+func TestReplayTargetsRefuseConnections(t *testing.T) {
+	f := newFleet(target("down-1", "a"), target("down-2", "a"), target("up", "a"))
+	refused := 0
+	for n := range 60 {
+		now := afterStart(time.Duration(n) * 10 * time.Millisecond)
+		name := pickName(t, f, Query{}, now)
+		isDown := name != "up"
+		if isDown {
+			refused++
+		}
+		f.Done(name, Outcome{Failed: isDown, Down: isDown}, now)
+	}
+	if refused > 2 {
+		t.Errorf("%d of 60 calls were sent to targets that refuse connections, want at most one each", refused)
+	}
+	if usable := f.UsableTargets("s", afterStart(600*time.Millisecond)); len(usable) != 1 || usable[0].Name != "up" {
+		t.Errorf("usable targets: %v", usable)
+	}
+}
--- a/pkg/radishfleet/outcome.go
+++ b/pkg/radishfleet/outcome.go
@@ -1,6 +1,8 @@
 package radishfleet
 
 import (
+	"errors"
+	"syscall"
 	"time"
 
 	"radishramp.example/radishramp/pkg/radish"
@@ -17,6 +19,8 @@
 	Cut bool
 	// Rejected is whether the target rejected the call.
 	Rejected bool
+	// Down is whether no process listens at the target's address; Failed is then set too.
+	Down bool
 	// Unreachable is whether no connection to the target could be opened.
 	Unreachable bool
 	// Inconclusive is whether the call was abandoned for a reason that has nothing to do with the target.
@@ -24,6 +28,9 @@
 	Load         radish.TargetLoad
 }
 
+// IsRefused reports whether the error shows that no process listens at a target's address.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Done records the outcome of a call that Pick assigned to the target.
 func (f *Fleet) Done(name string, o Outcome, now time.Time) {
 	f.mu.Lock()
@@ -42,7 +49,7 @@
 	case o.Rejected:
 		s.recordRejection(now)
 	default:
-		s.recordResult(o.Failed, now)
+		s.recordResult(o, now)
 		if !o.Failed {
 			s.errorResponses.record(o.ErrorResponse, now)
 		}
@@ -58,19 +65,19 @@
 	}
 }
 
-func (s *targetState) recordResult(failed bool, now time.Time) {
+func (s *targetState) recordResult(o Outcome, now time.Time) {
 	sample := 0.0
-	if failed {
+	if o.Failed {
 		sample = 1
 	}
 	s.failureRate = s.decayedFailureRate(now)*(1-failureSampleWeight) + failureSampleWeight*sample
 	s.failureRateAt = now
-	if !failed {
+	if !o.Failed {
 		s.consecutiveFailures, s.ejectionPeriod = 0, 0
 		return
 	}
 	s.consecutiveFailures++
-	if s.consecutiveFailures < ejectAfterFailures {
+	if s.consecutiveFailures < ejectAfterFailures && !o.Down {
 		return
 	}
 	s.ejectionPeriod = min(maxEjection, max(minEjection, 2*s.ejectionPeriod))
@@ -84,7 +91,7 @@
 	if s := f.targets[name]; s != nil {
 		f.recordReachability(s.target, o, now)
 		if !o.Inconclusive {
-			s.recordResult(o.Failed, now)
+			s.recordResult(o, now)
 		}
 	}
 }
