Make the stage results again that a resumed stream needs

Callers saw: streams that broke off when their target ended were aborted although their route allows resuming them. Change: before each attempt the stages run again if their results are not there; there is one place for this. Result: TestResumedStreamHasItsInputs failed before (inputs []).

--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -47,9 +47,16 @@
 	decisionRerunStages
 )
 
-// forward sends the call to one target after another until it gets a response or may not be retried.
+// forward runs the call's stages and sends the call to one target after another until it gets a response or may not be retried.
 func (e *exchange) forward(ctx context.Context) {
 	for unexecuted := 0; ; {
+		if e.needsInputs() {
+			if err := e.runStages(ctx); err != nil {
+				e.refuseStageFailure(ctx, err)
+				return
+			}
+		}
+		// A part of the prompt may have been quarantined while the stages ran.
 		if refusal, ok := e.checkQuarantine(); !ok {
 			e.refuse(refusal)
 			return
@@ -64,10 +71,7 @@
 			return
 		case d == decisionRerunStages && unexecuted < maxUnexecutedAttempts:
 			unexecuted++
-			if err := e.runStages(ctx); err != nil {
-				e.refuseStageFailure(ctx, err)
-				return
-			}
+			e.freeInputs()
 		case d == decisionRetryUnexecuted && unexecuted < maxUnexecutedAttempts && e.spendRetryBudget(ctx):
 			unexecuted++
 		case d == decisionRetry && !e.isTrial && e.route.IsIdempotent() && e.possibleExecutions < e.route.MaxAttempts && e.spendRetryBudget(ctx):
--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -43,6 +43,10 @@
 	return e.largestStagePieces() > 0
 }
 
+// needsInputs reports whether the call has stages whose results are not there: none were made yet, a target did not find them, or they
+// were released when the response began.
+func (e *exchange) needsInputs() bool { return e.inputHandles == nil && e.hasStageWork() }
+
 // runStages frees earlier stage results and runs the stages of the call. It stops early with errStopping when the VM
 // shuts down, and runs the stages a second time if a piece failed and enough time remains.
 func (e *exchange) runStages(ctx context.Context) error {
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -190,14 +190,10 @@
 // jitter randomizes a retry delay by up to half in either direction, so that callers do not retry all at once.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
-// run runs the call's stages and then forwards the call to a target.
+// run forwards the call to a target.
 func (e *exchange) run(ctx context.Context) {
 	defer e.freeInputs()
 	e.chooseDataCentre()
-	if err := e.runStages(ctx); err != nil {
-		e.refuseStageFailure(ctx, err)
-		return
-	}
 	e.forward(ctx)
 }
 
--- a/internal/radishrelay/stage_test.go
+++ b/internal/radishrelay/stage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,6 +68,24 @@
 	}
 }
 
+// TestResumedStreamHasItsInputs breaks off a stream whose stage results were released when it had begun. The target that resumes it
+// needs results too, so they must be made again.
+func TestResumedStreamHasItsInputs(t *testing.T) {
+	relay, forwarder := newRelay(routeWithStages(), streamsEvents(2, true), streamsEvents(4, false))
+	call := newCall()
+	call.Pieces = []int{1, 1}
+	w := handle(t.Context(), relay, call)
+	if w.aborted || !strings.Contains(w.body.String(), "token 4") {
+		t.Errorf("caller received %q, aborted %t", w.body.String(), w.aborted)
+	}
+	if n := len(forwarder.sends); n != 2 {
+		t.Fatalf("%d attempts, want 2", n)
+	}
+	if got := forwarder.sends[1].Inputs; len(got) != 1 || got[0] == forwarder.sends[0].Inputs[0] {
+		t.Errorf("resumed with inputs %v, first sent with %v", got, forwarder.sends[0].Inputs)
+	}
+}
+
 func TestFullStagesSetRetryAfter(t *testing.T) {
 	relay, forwarder := newRelay(routeWithStages(), streamsEvents(2, false))
 	relay.Stages = &fakeStages{err: &radishstage.RefusedError{RetryAfter: 2 * time.Second, Reason: "full"}}
