--- a/internal/radishrelay/cut_test.go
+++ b/internal/radishrelay/cut_test.go
@@ -89,3 +89,40 @@
 		}
 	}
 }
+
+// TestErrorResponseDuringStreamIsNotRelayed breaks off a stream after two events; the target that is to resume it responds with
+// something else. The caller must get nothing of that, and its stream must not look complete.
+func TestErrorResponseDuringStreamIsNotRelayed(t *testing.T) {
+	const begun = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n"
+	asStream := func(respond responder) responder {
+		return func(ctx context.Context, req *radish.ForwardRequest) (*radish.TargetResponse, error) {
+			resp, err := respond(ctx, req)
+			resp.IsStream = true
+			return resp, err
+		}
+	}
+	tests := map[string]responder{
+		"error as text":                  respondsWith(http.StatusInternalServerError, "error of the target"),
+		"error as a stream":              asStream(respondsWith(http.StatusInternalServerError, "data: error of the target\n\n")),
+		"invalid request":                respondsWith(http.StatusBadRequest, "error of the target"),
+		"success that is no stream":      respondsWith(http.StatusOK, "text of the target"),
+		"redirect":                       respondsWith(http.StatusFound, "text of the target"),
+		"refusal":                        rejectsUnexecuted(http.StatusServiceUnavailable),
+		"reset before the head":          failsWith(errReset),
+		"stream that ends in an event":   asStream(respondsWith(http.StatusOK, "data: tok")),
+		"response to another call":       failsWith(radish.ErrAttemptMismatch),
+		"head of another response first": asStream(respondsWith(http.StatusOK, "HTTP/1.1 500 Internal Server Error\r\n")),
+	}
+	for name, respond := range tests {
+		t.Run(name, func(t *testing.T) {
+			relay, _ := newRelay(&radishroute.Route{Kind: radishroute.KindStream, IsResumable: true, MaxAttempts: 2, Timeout: time.Second}, streamsEvents(2, true), respond)
+			w := handle(t.Context(), relay, newCall())
+			if got := w.body.String(); got != begun {
+				t.Errorf("caller received %q", got)
+			}
+			if !w.aborted || w.refusal != nil {
+				t.Errorf("aborted %t, refusal %v", w.aborted, w.refusal)
+			}
+		})
+	}
+}
