--- /dev/null
+++ b/pkg/radishfleet/availability.go
@@ -0,0 +1,48 @@
+package radishfleet
+
+import (
+	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
+)
+
+// isUsable reports whether the target may be sent to at all. Every choice of a target asks it.
+func (f *Fleet) isUsable(s *targetState, _ time.Time) bool {
+	return !s.target.Leaving && !f.evacuated[s.target.DataCentre] && !f.isSuperseded(s)
+}
+
+// isExcluded reports whether the target is ejected or its data centre is unreachable, so that it is sent to only if there is no
+// other one.
+func (f *Fleet) isExcluded(s *targetState, now time.Time) bool {
+	return now.Before(s.ejectedUntil) || f.isUnreachable(s.target, now)
+}
+
+// isAvailable reports whether the target may be sent to and is expected to respond.
+func (f *Fleet) isAvailable(s *targetState, now time.Time) bool {
+	return f.isUsable(s, now) && !f.isExcluded(s, now)
+}
+
+// isSuperseded reports whether another target started later at the target's address. The record of a target that has ended may
+// remain for a while, and only one process can use an address.
+func (f *Fleet) isSuperseded(s *targetState) bool {
+	newest := f.newestAt[s.target.Address]
+	return newest != nil && newest.target.StartedUnixMilli > s.target.StartedUnixMilli
+}
+
+// UsableTargets returns the targets of the service that may take calls, without ejected and unreachable ones.
+func (f *Fleet) UsableTargets(service string, now time.Time) []radish.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.availableTargets(service, now, func(*targetState) bool { return true })
+}
+
+// availableTargets returns the available targets of the service that meet the condition.
+func (f *Fleet) availableTargets(service string, now time.Time, condition func(s *targetState) bool) []radish.Target {
+	var available []radish.Target
+	for _, s := range f.byService[service] {
+		if condition(s) && f.isAvailable(s, now) {
+			available = append(available, s.target)
+		}
+	}
+	return available
+}
--- a/pkg/radishfleet/engine.go
+++ b/pkg/radishfleet/engine.go
@@ -91,7 +91,7 @@
 func (f *Fleet) countByDataCentre(service string, now time.Time) map[string]float64 {
 	counts := make(map[string]float64)
 	for _, s := range f.byService[service] {
-		if f.isUsable(s) && !f.isExcluded(s, now) {
+		if f.isAvailable(s, now) {
 			counts[s.target.DataCentre]++
 		}
 	}
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -128,13 +128,6 @@
 	}
 }
 
-// isSuperseded reports whether another target started later at the target's address. The record of a target that has ended may
-// remain for a while, and only one process can use an address.
-func (f *Fleet) isSuperseded(s *targetState) bool {
-	newest := f.newestAt[s.target.Address]
-	return newest != nil && newest.target.StartedUnixMilli > s.target.StartedUnixMilli
-}
-
 // SetEvacuated replaces the set of data centres whose targets get no calls.
 func (f *Fleet) SetEvacuated(dataCentres map[string]bool) {
 	f.mu.Lock()
@@ -171,7 +164,7 @@
 	}
 	for _, other := range f.byService[s.target.Service] {
 		snapshot.TotalTargets++
-		if f.isUsable(other) && !f.isExcluded(other, now) {
+		if f.isAvailable(other, now) {
 			snapshot.UsableTargets++
 		}
 	}
@@ -210,22 +203,13 @@
 	return s.target, true
 }
 
-func (f *Fleet) isUsable(s *targetState) bool {
-	return !s.target.Leaving && !f.evacuated[s.target.DataCentre] && !f.isSuperseded(s)
-}
-
-// isExcluded reports whether the target is ejected or its data centre is unreachable.
-func (f *Fleet) isExcluded(s *targetState, now time.Time) bool {
-	return now.Before(s.ejectedUntil) || f.isUnreachable(s.target, now)
-}
-
 // warmTargets returns the targets that may take the call. It falls back to ejected and unreachable ones if there are
 // no others.
 func (f *Fleet) warmTargets(q Query, now time.Time) []*targetState {
 	var warm, ejected []*targetState
 	for _, s := range f.byService[q.Service] {
 		switch {
-		case !f.isUsable(s), q.Exclude[s.target.Name], q.HasColdLimit && now.Before(s.coldUntil):
+		case !f.isUsable(s, now), q.Exclude[s.target.Name], q.HasColdLimit && now.Before(s.coldUntil):
 		case f.isExcluded(s, now):
 			ejected = append(ejected, s)
 		default:
@@ -240,7 +224,7 @@
 
 func (f *Fleet) pickCold(q Query, now time.Time) *targetState {
 	for _, s := range f.byService[q.Service] {
-		if !f.isUsable(s) || q.Exclude[s.target.Name] || !now.Before(s.coldUntil) {
+		if !f.isUsable(s, now) || q.Exclude[s.target.Name] || !now.Before(s.coldUntil) {
 			continue
 		}
 		s.coldSentAt = slices.DeleteFunc(s.coldSentAt, func(at time.Time) bool { return now.Sub(at) > coldWindow })
@@ -306,19 +290,6 @@
 	return rate * (1 - halfLives/2)
 }
 
-// UsableTargets returns the targets of the service that may take calls, without ejected and unreachable ones.
-func (f *Fleet) UsableTargets(service string, now time.Time) []radish.Target {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var usable []radish.Target
-	for _, s := range f.byService[service] {
-		if f.isUsable(s) && !f.isExcluded(s, now) {
-			usable = append(usable, s.target)
-		}
-	}
-	return usable
-}
-
 // DataCentreOf returns the data centre of the target with the address, or "" if there is no such target.
 func (f *Fleet) DataCentreOf(address string) string {
 	f.mu.Lock()
--- a/pkg/radishfleet/shard.go
+++ b/pkg/radishfleet/shard.go
@@ -58,13 +58,7 @@
 		}
 		f.assignments[service] = assignment
 	}
-	var usable []radish.Target
-	for _, s := range f.byService[service] {
-		if assignment.shardOf[s.target.Name] == shard && f.isUsable(s) && !f.isExcluded(s, now) {
-			usable = append(usable, s.target)
-		}
-	}
-	return usable
+	return f.availableTargets(service, now, func(s *targetState) bool { return assignment.shardOf[s.target.Name] == shard })
 }
 
 // assignShards spreads the targets of each data centre evenly over the shards; the remainder goes to the shards with
