Send nothing to a target that announces in its responses that it leaves

Callers saw: nothing yet; calls that reach a leaving target can be cut off when it ends. Cause: only the store's record told that a target leaves. A VM that the store refuses, or whose record is old, went on sending. Change: the adapter reads the announcement from every response (of calls, streams, refusals, errors, batches of pieces, releases of results) and reports it before the response is used. It holds until a later start of the target is registered; records that say ready, that lapse and return, and peers' reports do not end it. VMs exchange the announcements with the evidence on crashes, one bounded message.

--- a/cmd/site.go
+++ b/cmd/site.go
@@ -66,7 +66,7 @@
 		StageHTTP:   &http.Client{Transport: radishadapter.NewTransport(true)},
 	}
 	host, _, _ := net.SplitHostPort(site.CallerAddress)
-	return &radishsite.Server{
+	server := &radishsite.Server{
 		InitialSettings: site, Store: &radishadapter.StoreClient{Address: site.StoreAddress, HTTP: &http.Client{Transport: radishadapter.NewTransport(true)}},
 		Decoder: radishadapter.RecordDecoder{}, Forwarder: targets, Prober: targets, StageClient: targets, Log: log,
 		MetricsAddress: net.JoinHostPort(host, metricsPort),
@@ -74,4 +74,6 @@
 			return &radishadapter.FrontEnd{Handler: handler, MaxBody: maxBody, IsLeaving: isLeaving}
 		},
 	}
+	targets.Observer = server
+	return server
 }
--- a/internal/radishsite/crash.go
+++ b/internal/radishsite/crash.go
@@ -1,7 +1,6 @@
 package radishsite
 
 import (
-	"context"
 	"math"
 	"time"
 
@@ -10,12 +9,6 @@
 	"radishramp.example/radishramp/pkg/radishquarantine"
 )
 
-// shareCrashes notifies peers of new evidence on crashes of targets.
-func (p *peerManager) shareCrashes() {
-	p.hasNewCrashes.Store(true)
-	p.scheduleGossip()
-}
-
 // isTrialVM reports whether this VM is the one that tries a call with a quarantined group of prompt parts again.
 func (p *peerManager) isTrialVM(group string) bool {
 	owners := radish.RendezvousOwners(p.availableVMs(), "trial/"+group, 1)
@@ -35,21 +28,6 @@
 	return encoded
 }
 
-// hasMoreCrashes reports whether this VM has evidence on crashes that the peer lacked when it sent its heartbeat.
-func (p *peerManager) hasMoreCrashes(peer *radishpeerpb.SiteHeartbeat) bool {
-	digest := p.quarantine.Digest()
-	return digest != 0 && digest != peer.GetCrashesDigest()
-}
-
-// sendCrashes sends this VM's evidence on crashes to one peer.
-func (p *peerManager) sendCrashes(ctx context.Context, name string) {
-	h := p.heartbeat()
-	h.Crashes = p.encodeCrashes()
-	if _, err := p.node.Call(ctx, name, &radishpeerpb.Request{Body: &radishpeerpb.Request_Site{Site: h}}); err != nil {
-		p.log.Warn("cannot send crashes of targets to peer", "peer", name, "error", err.Error())
-	}
-}
-
 // mergeCrashes takes over the evidence of a peer and passes on what is new.
 func (p *peerManager) mergeCrashes(reports []*radishpeerpb.TargetCrash, peer string) {
 	if len(reports) == 0 {
@@ -66,6 +44,6 @@
 	}
 	if p.quarantine.Merge(crashes, now) {
 		p.log.Info("crashes of targets reported by a peer", "peer", peer, "crashes", len(crashes))
-		p.shareCrashes()
+		p.shareReports()
 	}
 }
--- a/internal/radishsite/crash_test.go
+++ b/internal/radishsite/crash_test.go
@@ -18,11 +18,11 @@
 		for i := range 3 {
 			vm := vms[i*7]
 			vm.quarantine.RecordCrash(fmt.Sprint("target-", i), "s", []string{"first", "deadly"}, time.Now())
-			vm.shareCrashes()
+			vm.shareReports()
 			time.Sleep(400 * time.Millisecond)
 		}
 		if vms[29].quarantine.RecordAnswer("s", []string{"first"}, time.Now()) {
-			vms[29].shareCrashes()
+			vms[29].shareReports()
 		}
 		time.Sleep(1500 * time.Millisecond)
 		for _, vm := range vms {
--- a/internal/radishsite/gossip.go
+++ b/internal/radishsite/gossip.go
@@ -38,8 +38,8 @@
 	linked := p.node.Linked()
 	rand.Shuffle(len(linked), func(i, j int) { linked[i], linked[j] = linked[j], linked[i] })
 	h := p.heartbeat()
-	if p.hasNewCrashes.Swap(false) {
-		h.Crashes = p.encodeCrashes()
+	if p.hasNewReports.Swap(false) {
+		p.addReports(h)
 	}
 	for _, name := range linked[:min(len(linked), gossipFanout)] {
 		go p.exchangeHeartbeats(ctx, name, h)
@@ -77,7 +77,7 @@
 	h := &radishpeerpb.SiteHeartbeat{
 		Vm: p.self.Name, DataCentre: p.self.DataCentre, PeerAddress: p.self.Address, Incarnation: p.self.Incarnation, Leaving: p.isLeaving(),
 		Complete: make(map[string]int64), StoreAway: p.state.isStoreUnreachable(), CoordinatorsDigest: p.coordinatorsDigest(),
-		CrashesDigest: p.quarantine.Digest(),
+		CrashesDigest: p.quarantine.Digest(time.Now()), LeavingTargetsDigest: p.state.fleet.LeavingDigest(time.Now()),
 	}
 	for _, kind := range radish.RecordKinds {
 		h.Complete[string(kind)] = p.mirror.CompleteRevision(kind)
@@ -85,15 +85,15 @@
 	return h
 }
 
-// heartbeatTo returns this VM's heartbeat as the response to a peer's. It contains the coordinators and the crashes of targets only
-// if the peer knows others, since they rarely change.
+// heartbeatTo returns this VM's heartbeat as the response to a peer's. It contains the coordinators and the reports on targets
+// only if the peer knows others, since they rarely change.
 func (p *peerManager) heartbeatTo(peer *radishpeerpb.SiteHeartbeat) *radishpeerpb.SiteHeartbeat {
 	h := p.heartbeat()
 	if h.GetCoordinatorsDigest() != peer.GetCoordinatorsDigest() {
 		h.Coordinators = p.shardCoordinators()
 	}
-	if h.GetCrashesDigest() != peer.GetCrashesDigest() {
-		h.Crashes = p.encodeCrashes()
+	if differInReports(h, peer) {
+		p.addReports(h)
 	}
 	return h
 }
@@ -109,8 +109,8 @@
 		return
 	}
 	p.handleHeartbeat(res.GetSite())
-	if len(h.GetCrashes()) == 0 && p.hasMoreCrashes(res.GetSite()) {
-		p.sendCrashes(ctx, name)
+	if differInReports(p.heartbeat(), res.GetSite()) {
+		p.sendReports(ctx, name)
 	}
 	p.fetchNewer(name, res.GetSite())
 }
--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -36,8 +36,8 @@
 	log       hclog.Logger
 	// gossipNow holds one element while changes are waiting to be announced to peers.
 	gossipNow chan struct{}
-	// hasNewCrashes is whether peers have not been notified of the newest evidence on crashes.
-	hasNewCrashes atomic.Bool
+	// hasNewReports is whether peers have not been notified of the newest reports on targets.
+	hasNewReports atomic.Bool
 
 	mu  sync.Mutex
 	vms map[string]radish.VMRecord
@@ -141,6 +141,7 @@
 	p.recordPeerState(h)
 	p.mergeCoordinators(h.GetCoordinators())
 	p.mergeCrashes(h.GetCrashes(), h.GetVm())
+	p.mergeLeaving(h.GetLeavingTargets(), h.GetVm())
 }
 
 // recordPeerState records whether the peer reaches the store and whether it is leaving.
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -115,7 +115,7 @@
 		Config: s.state.config.Load, ConfigAge: s.state.configAge, Fleet: s.fleet, Forwarder: s.Forwarder, Prober: s.Prober, Stages: s.peers.router,
 		RetryBudget: &radishtarget.RetryBudget{Burst: s.retryBurst},
 		RetryRatio:  func() float64 { return s.currentSettings.Load().RetryBudgetRatio },
-		Engines:     &radishengine.Estimator{}, Quarantine: s.quarantine, OnEvidence: s.peers.shareCrashes, Metrics: s.metrics, Log: s.Log.Named("call"),
+		Engines:     &radishengine.Estimator{}, Quarantine: s.quarantine, OnEvidence: s.peers.shareReports, Metrics: s.metrics, Log: s.Log.Named("call"),
 	}
 	return s.registerGauges()
 }
--- a/pkg/radish/target.go
+++ b/pkg/radish/target.go
@@ -33,6 +33,19 @@
 	StartedUnixMilli int64
 }
 
+// TargetNotice is what a target says about itself in a response, whatever the response is.
+type TargetNotice struct {
+	// IsLeaving is whether the target announces that it leaves.
+	IsLeaving bool
+}
+
+// TargetObserver learns what targets say about themselves.
+type TargetObserver interface {
+	// ObserveTarget is called for each response with a notice, before the response is used. If the target's name is empty, only its
+	// address is known.
+	ObserveTarget(t Target, n TargetNotice)
+}
+
 // LoadReport is the load that a target reports; it may be out of date by up to the target's report interval.
 type LoadReport struct {
 	State    TargetState `json:"state"`
--- a/pkg/radishfleet/availability.go
+++ b/pkg/radishfleet/availability.go
@@ -8,7 +8,7 @@
 
 // isUsable reports whether the target may be sent to at all. Every choice of a target asks it.
 func (f *Fleet) isUsable(s *targetState, _ time.Time) bool {
-	return !s.target.Leaving && !f.evacuated[s.target.DataCentre] && !f.isSuperseded(s)
+	return !s.target.Leaving && !f.hasAnnouncedLeaving(s.target) && !f.evacuated[s.target.DataCentre] && !f.isSuperseded(s)
 }
 
 // isExcluded reports whether the target is ejected or its data centre is unreachable, so that it is sent to only if there is no
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -37,8 +37,10 @@
 	// newestAt holds, by address, the target that started last there.
 	newestAt map[string]*targetState
 	// assignments caches the latest assignment of targets to shards by service.
-	assignments     map[string]*shardAssignment
-	evacuated       map[string]bool
+	assignments map[string]*shardAssignment
+	evacuated   map[string]bool
+	// leaving holds, by name, the targets that announced in a response that they leave. It outlasts their records.
+	leaving         map[string]LeavingTarget
 	dataCentreLinks map[string]*dataCentreLink
 }
 
--- /dev/null
+++ b/pkg/radishfleet/notice.go
@@ -0,0 +1,22 @@
+package radishfleet
+
+import (
+	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
+)
+
+// Observe records what a target says about itself in a response and reports whether this changes whether it may be sent to. A target
+// without a name is the one that started last at the address.
+func (f *Fleet) Observe(t radish.Target, n radish.TargetNotice, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.Name == "" {
+		s := f.newestAt[t.Address]
+		if s == nil {
+			return false
+		}
+		t = s.target
+	}
+	return n.IsLeaving && f.recordLeaving(LeavingTarget{Name: t.Name, StartedUnixMilli: t.StartedUnixMilli, At: now}, now)
+}
--- a/pkg/radishquarantine/quarantine.go
+++ b/pkg/radishquarantine/quarantine.go
@@ -25,7 +25,9 @@
 	crashes []*crashRecord
 	// answeredAt holds when a call with the part was last answered at this VM.
 	answeredAt map[servicePart]time.Time
+	// groups and digest are those of the evidence at reviewedAt; isOutdated is whether it has changed since.
 	groups     []Group
+	digest     uint64
 	isOutdated bool
 	reviewedAt time.Time
 	// triedAt holds when this VM last tried a call with the parts of a group.
@@ -183,14 +185,11 @@
 }
 
 // Digest returns a hash of the evidence, which is equal on VMs with the same evidence; 0 if there is none.
-func (q *Quarantine) Digest() uint64 {
+func (q *Quarantine) Digest(now time.Time) uint64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	sum := uint64(0)
-	for _, c := range q.crashes {
-		sum += c.digest()
-	}
-	return sum
+	q.review(now)
+	return q.digest
 }
 
 // Groups returns the quarantined parts.
@@ -201,13 +200,17 @@
 	return slices.Clone(q.groups)
 }
 
-// review determines the groups if the evidence has changed.
+// review determines the groups and the digest if the evidence has changed.
 func (q *Quarantine) review(now time.Time) {
 	if !q.isOutdated && now.Sub(q.reviewedAt) < reviewInterval {
 		return
 	}
 	q.expire(now)
 	q.groups = findGroups(q.crashes)
+	q.digest = 0
+	for _, c := range q.crashes {
+		q.digest += c.digest()
+	}
 	q.isOutdated, q.reviewedAt = false, now
 }
 
--- a/pkg/radishquarantine/quarantine_test.go
+++ b/pkg/radishquarantine/quarantine_test.go
@@ -170,8 +170,8 @@
 func TestEvidenceExpires(t *testing.T) {
 	q := &Quarantine{}
 	end := replay(q, []string{"p"}, []string{"p"}, []string{"p"})
-	if got := groupKeys(q, end.Add(evidenceTTL)); len(got) > 0 || q.Digest() != 0 {
-		t.Errorf("quarantined %v, digest %d", got, q.Digest())
+	if got := groupKeys(q, end.Add(evidenceTTL)); len(got) > 0 || q.Digest(end.Add(evidenceTTL)) != 0 {
+		t.Errorf("quarantined %v, digest %d", got, q.Digest(end))
 	}
 }
 
@@ -191,7 +191,7 @@
 		"in the future":  {Target: "t", At: after(time.Second)},
 		"too old":        {Target: "t", At: after(-2 * evidenceTTL)},
 	} {
-		if q.Merge([]Crash{c}, testStart) || q.Digest() != 0 {
+		if q.Merge([]Crash{c}, testStart) || q.Digest(testStart) != 0 {
 			t.Errorf("%s: the report was taken", name)
 		}
 	}
@@ -231,7 +231,7 @@
 		for _, r := range shuffled {
 			second.Merge([]Crash{r}, now)
 		}
-		if first.Digest() != second.Digest() {
+		if first.Digest(now) != second.Digest(now) {
 			t.Errorf("digests differ: %v and %v", first.Crashes(), second.Crashes())
 		}
 		if diff := cmp.Diff(first.Groups(now), second.Groups(now)); diff != "" {
