Send nothing to a target that asks for a pause until its end

Callers saw: nothing yet; a target that rejects calls to recover got further ones all the same, and the calls lost time there. Cause: Retry-After of a target's rejection was not read. Change: a pause is a state of the target that every choice of one asks for, for calls, engines and pieces. The latest end counts; a later start of the target is free; what is no time in seconds is ignored and counted, and more than an hour is shortened. After a pause the calls grow step by step. If all targets of a service are paused or leave, calls are refused at once, with the time until the first pause ends. VMs do not tell each other of pauses (docs/design/platform.md says why).

--- a/e2e/announce_test.go
+++ b/e2e/announce_test.go
@@ -51,3 +51,42 @@
 		t.Errorf("the leaving target got %d calls from the peer", n)
 	}
 }
+
+// TestPausedTargetGetsNoCalls has one of two targets reject a call and ask for a pause of 1.5 s, and then both.
+func TestPausedTargetGetsNoCalls(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	s := newSiteCluster(t)
+	vm := s.startVM("vm-1")
+	var arrivals atomic.Int64
+	rejects := func(w http.ResponseWriter, _ *http.Request) bool {
+		arrivals.Add(1)
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", "1.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	s.plainTargets[0].SetInterceptor(rejects)
+	for startedAt := time.Now(); arrivals.Load() == 0 && time.Since(startedAt) < 5*time.Second; {
+		s.call(vm, "/plain/x", nil)
+	}
+	pausedAt, before := time.Now(), arrivals.Load()
+	for time.Since(pausedAt) < pause-200*time.Millisecond {
+		if status, body := s.call(vm, "/plain/x", nil); status != http.StatusOK {
+			t.Errorf("got status %d, body %q", status, body)
+		}
+	}
+	if n := arrivals.Load() - before; n > 0 {
+		t.Errorf("the paused target got %d calls", n)
+	}
+	s.plainTargets[1].SetInterceptor(rejects)
+	s.call(vm, "/plain/x", nil)
+	time.Sleep(pause)
+	s.call(vm, "/plain/x", nil)
+	startedAt := time.Now()
+	if status, _ := s.call(vm, "/plain/x", nil); status != http.StatusServiceUnavailable {
+		t.Errorf("all targets paused: got status %d, want 503", status)
+	}
+	if took := time.Since(startedAt); took > 100*time.Millisecond {
+		t.Errorf("all targets paused: refused after %v, want at once", took)
+	}
+}
--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"time"
 
 	"radishramp.example/radishramp/internal/radishlog"
@@ -105,7 +106,7 @@
 		if t, ok := e.relay.Fleet.Pick(query, now); ok {
 			return t, true
 		}
-		if now.After(waitUntil) || ctx.Err() != nil {
+		if now.After(waitUntil) || ctx.Err() != nil || !e.mayTargetResume(waitUntil) {
 			return radish.Target{}, false
 		}
 		select {
@@ -115,6 +116,27 @@
 	}
 }
 
+// mayTargetResume reports whether waiting for a target until the time can help.
+func (e *exchange) mayTargetResume(until time.Time) bool {
+	now := time.Now()
+	if e.relay.Fleet.HasUsableTarget(e.service.Name, now) {
+		return true
+	}
+	wait := e.relay.Fleet.UntilResumed(e.service.Name, now)
+	return wait > 0 && now.Add(wait).Before(until)
+}
+
+// noTargetRetryAfter returns when a caller should retry a call for which there is no target: after the first pause of a target, if all
+// of them asked for one. The retries are spread over as much time again, within the time for which callers wait.
+func (e *exchange) noTargetRetryAfter() time.Duration {
+	wait := e.relay.Fleet.UntilResumed(e.service.Name, time.Now())
+	if wait == 0 {
+		return jitter(noCapacityRetryAfter)
+	}
+	latest := time.Duration(retryWindowShare * float64(time.Until(e.deadline)))
+	return max(time.Millisecond, min(wait+rand.N(wait), latest))
+}
+
 func (e *exchange) refuseNoTarget(ctx context.Context) {
 	if callerLeft(ctx) {
 		e.abort(outcomeCallerLeft)
@@ -124,7 +146,7 @@
 		e.refuse(radish.Refusal{Kind: radish.RefusalTargetFailed, Reason: "no other target for a repeat"})
 		return
 	}
-	e.refuse(radish.Refusal{Kind: radish.RefusalNotExecuted, RetryAfter: jitter(noCapacityRetryAfter), Reason: "no target can take the call"})
+	e.refuse(radish.Refusal{Kind: radish.RefusalNotExecuted, RetryAfter: e.noTargetRetryAfter(), Reason: "no target can take the call"})
 }
 
 // refuseUnanswered ends a call that no target responded to.
@@ -138,7 +160,7 @@
 		e.refuse(radish.Refusal{Kind: radish.RefusalTargetFailed, Reason: "the target failed"})
 	case d == decisionRetryUnexecuted || d == decisionRerunStages:
 		e.refuse(radish.Refusal{
-			Kind: radish.RefusalNotExecuted, RetryAfter: jitter(noCapacityRetryAfter), Reason: "all targets turned the call away",
+			Kind: radish.RefusalNotExecuted, RetryAfter: e.noTargetRetryAfter(), Reason: "all targets turned the call away",
 		})
 	default:
 		e.refuse(radish.Refusal{Kind: radish.RefusalTargetFailed, Reason: "the target failed"})
--- a/internal/radishsite/notice.go
+++ b/internal/radishsite/notice.go
@@ -11,6 +11,10 @@
 
 // ObserveTarget implements radish.TargetObserver.
 func (s *Server) ObserveTarget(t radish.Target, n radish.TargetNotice) {
+	if n.InvalidPause != "" {
+		s.invalidPauses.Add(1)
+		s.Log.Warn("target asked for an invalid pause", "target", t.Name, "address", t.Address, "retry_after", n.InvalidPause, "granted_ms", n.Pause.Milliseconds())
+	}
 	if !s.fleet.Observe(t, n, time.Now()) {
 		return
 	}
@@ -18,6 +22,9 @@
 		s.Log.Info("target announced that it leaves", "target", t.Name, "address", t.Address, "source", "response")
 		s.peers.shareReports()
 	}
+	if n.Pause > 0 {
+		s.Log.Info("target asked for a pause", "target", t.Name, "address", t.Address, "pause_ms", n.Pause.Milliseconds())
+	}
 	s.redispatchAll()
 }
 
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -82,6 +82,7 @@
 	leaving         atomic.Bool
 	inFlight        atomic.Int64
 	panics          atomic.Int64
+	invalidPauses   atomic.Int64
 	currentSettings atomic.Pointer[radish.PlatformSettings]
 
 	mu           sync.Mutex
@@ -141,6 +142,7 @@
 		{"radishramp_quarantined_groups", "Groups of prompt parts whose calls are refused because they crash targets.", func() float64 {
 			return float64(len(s.quarantine.Groups(time.Now())))
 		}},
+		{"radishramp_invalid_pauses", "Responses of targets that asked for a pause of no valid length.", func() float64 { return float64(s.invalidPauses.Load()) }},
 		{"radishramp_store_away", "1 while the store does not answer.", func() float64 { return radishmetric.BoolValue(s.state.isStoreUnreachable()) }},
 		{"radishramp_is_ready", "1 while the VM says that it is ready.", func() float64 { return radishmetric.BoolValue(s.isReady()) }},
 	}
--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -29,7 +29,7 @@
 	backlogs, needs := c.serviceBacklogs(p, now), p.stageNeeds(p.dueTimes(c.typicalTime), now)
 	expected, ok := radishbatch.EstimateDuration(backlogs, needs)
 	if !ok {
-		return 0, c.refuse(p, &RefusedError{RetryAfter: time.Second, Reason: "a stage has no target"}, 0)
+		return 0, c.refuse(p, &RefusedError{RetryAfter: c.untilResumed(p, now), Reason: "a stage has no target"}, 0)
 	}
 	delaysOthers := radishbatch.DelaysOthers(backlogs, needs)
 	unloaded, _ := radishbatch.EstimateDuration(radishbatch.Unloaded(backlogs), needs)
@@ -47,6 +47,24 @@
 	return 0, c.refuse(p, &RefusedError{RetryAfter: max(minRetryAfter, behindAll-unloaded), Reason: reason}, expected)
 }
 
+// noTargetRetryAfter is the time after which a plan may be retried for which a stage has no target.
+const noTargetRetryAfter = time.Second
+
+// untilResumed returns the time after which a plan may be retried for which a stage has no target: the end of the first pause, if all
+// targets of a stage asked for one.
+func (c *Coordinator) untilResumed(p *Plan, now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, s := range p.Stages {
+		if s.Pieces > 0 {
+			longest = max(longest, c.Fleet.UntilResumed(s.Service, now))
+		}
+	}
+	if longest == 0 {
+		return noTargetRetryAfter
+	}
+	return longest
+}
+
 // refuse counts and logs the refusal of the plan and returns err.
 func (c *Coordinator) refuse(p *Plan, err *RefusedError, expected time.Duration) error {
 	waiting := make(map[string]int, len(c.queues))
--- a/pkg/radishfleet/availability.go
+++ b/pkg/radishfleet/availability.go
@@ -7,7 +7,12 @@
 )
 
 // isUsable reports whether the target may be sent to at all. Every choice of a target asks it.
-func (f *Fleet) isUsable(s *targetState, _ time.Time) bool {
+func (f *Fleet) isUsable(s *targetState, now time.Time) bool {
+	return f.isInService(s) && !s.isPaused(now)
+}
+
+// isInService reports whether the target is there to stay and its data centre is not evacuated.
+func (f *Fleet) isInService(s *targetState) bool {
 	return !s.target.Leaving && !f.hasAnnouncedLeaving(s.target) && !f.evacuated[s.target.DataCentre] && !f.isSuperseded(s)
 }
 
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -59,8 +59,11 @@
 	failureRateAt       time.Time
 	consecutiveFailures int
 	errorResponses      errorRate
-	ejectionPeriod      time.Duration
-	ejectedUntil        time.Time
+	// pausedUntil is the end of the latest pause for which the target asked; sentAfterPause counts the calls since.
+	pausedUntil    time.Time
+	sentAfterPause int
+	ejectionPeriod time.Duration
+	ejectedUntil   time.Time
 }
 
 // Set stores a target's record. It reports whether the record matters for routing: it is a new target, a restarted one,
@@ -201,7 +204,7 @@
 	if s == nil {
 		return radish.Target{}, false
 	}
-	s.inFlight++
+	s.recordSend()
 	return s.target, true
 }
 
--- a/pkg/radishfleet/notice.go
+++ b/pkg/radishfleet/notice.go
@@ -18,5 +18,10 @@
 		}
 		t = s.target
 	}
-	return n.IsLeaving && f.recordLeaving(LeavingTarget{Name: t.Name, StartedUnixMilli: t.StartedUnixMilli, At: now}, now)
+	isNew := n.IsLeaving && f.recordLeaving(LeavingTarget{Name: t.Name, StartedUnixMilli: t.StartedUnixMilli, At: now}, now)
+	s := f.targets[t.Name]
+	if n.Pause > 0 && s != nil && s.target.StartedUnixMilli == t.StartedUnixMilli && s.pause(now.Add(n.Pause)) {
+		isNew = true
+	}
+	return isNew
 }
