Split the relay and name files after what they hold

Cause: forward.go had grown to 359 lines with four subjects, and files of radishsite, radishfleet, radishbatch, radishpermit and radishstandin had names that say little (belief, choice, pack, share, place, room, steward, reach, view). Whether a request was sent at all was traced twice in the adapter. Change: one file each for the attempt, the response, the choice of a target and the state of a call; files named after their type or subject; one function of the adapter sends a request to a target. No behaviour changes.

--- /dev/null
+++ b/internal/radishrelay/response.go
@@ -0,0 +1,74 @@
+package radishrelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishfleet"
+	"radishramp.example/radishramp/pkg/radishroute"
+)
+
+// relayResponse relays a response that is not an event stream.
+func (e *exchange) relayResponse(ctx context.Context, resp *radish.TargetResponse) (decision, radishfleet.Outcome) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	if err != nil {
+		return decisionRetry, e.outcomeWithoutResponse(ctx, false)
+	}
+	isError := resp.Status >= 500
+	if e.responseStarted {
+		// A stream that is being resumed cannot end with a response of another type.
+		return decisionRetry, radishfleet.Outcome{Failed: isError}
+	}
+	if isError && e.mayRetryErrorResponse(ctx) {
+		return decisionRetry, radishfleet.Outcome{ErrorResponse: true}
+	}
+	e.startResponse(resp)
+	if _, err := e.w.Write(body); err != nil {
+		e.outcome = outcomeCallerLeft
+		return decisionDone, radishfleet.Outcome{ErrorResponse: isError}
+	}
+	if len(body) < maxBufferedBytes {
+		e.outcome = outcomeAnswered
+		e.recordAnswer()
+		return decisionDone, radishfleet.Outcome{ErrorResponse: isError}
+	}
+	return e.relayRemainder(ctx, resp)
+}
+
+// mayRetryErrorResponse reports whether a call may be retried on another target after the target responded with a
+// server error.
+func (e *exchange) mayRetryErrorResponse(ctx context.Context) bool {
+	return ctx.Err() == nil && e.route.IsIdempotent() && e.route.Kind == radishroute.KindIdempotent &&
+		e.possibleExecutions < e.route.MaxAttempts
+}
+
+func (e *exchange) startResponse(resp *radish.TargetResponse) {
+	e.responseStarted = true
+	e.responseStartedAfter = time.Since(e.call.ReceivedAt)
+	e.w.Begin(resp.Status, resp.Header)
+}
+
+// relayRemainder relays the part of the body beyond the buffered part.
+func (e *exchange) relayRemainder(ctx context.Context, resp *radish.TargetResponse) (decision, radishfleet.Outcome) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := resp.Body.Read(buffer)
+		if n > 0 {
+			if _, writeErr := e.w.Write(buffer[:n]); writeErr != nil {
+				e.outcome = outcomeCallerLeft
+				return decisionDone, radishfleet.Outcome{}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			e.outcome = outcomeAnswered
+			return decisionDone, radishfleet.Outcome{}
+		}
+		if err != nil {
+			e.abort(outcomeTruncated)
+			return decisionDone, e.outcomeWithoutResponse(ctx, false)
+		}
+	}
+}
