Report needs_restart for all settings that are read at the start, and leaving coordinators as such

Cause: the comparison left two fields out, and compared with the settings before rather than with those at the start.

--- a/internal/radishsite/reload.go
+++ b/internal/radishsite/reload.go
@@ -51,9 +51,14 @@
 		return
 	}
 	s.applySettings(settings)
-	needsRestart := previous.CallerAddress != settings.CallerAddress || previous.ReadyAddress != settings.ReadyAddress ||
-		previous.PeerAddress != settings.PeerAddress || previous.StoreAddress != settings.StoreAddress ||
-		previous.VM != settings.VM || previous.DataCentre != settings.DataCentre
-	s.Log.Info("settings reloaded", "source", source, "needs_restart", needsRestart)
+	s.Log.Info("settings reloaded", "source", source, "needs_restart", needsRestart(s.InitialSettings, settings))
 	s.peers.updateLinks()
 }
+
+// needsRestart reports whether the settings differ from those at the start in a field that is read only then.
+func needsRestart(initial, current *radish.PlatformSettings) bool {
+	return initial.CallerAddress != current.CallerAddress || initial.ReadyAddress != current.ReadyAddress ||
+		initial.PeerAddress != current.PeerAddress || initial.StoreAddress != current.StoreAddress ||
+		initial.VM != current.VM || initial.DataCentre != current.DataCentre ||
+		initial.ShutdownGrace != current.ShutdownGrace || initial.Cores != current.Cores
+}
--- a/internal/radishstage/router.go
+++ b/internal/radishstage/router.go
@@ -74,7 +74,11 @@
 			wasReset = true
 			continue
 		}
-		r.Log.Warn("coordinator did not answer", "peer", owner, "shard", shard, "id", p.CallID, "error", err.Error())
+		if errors.Is(err, ErrMoved) {
+			r.Log.Info("coordinator leaves, another one is asked", "peer", owner, "shard", shard, "id", p.CallID)
+		} else {
+			r.Log.Warn("coordinator did not answer", "peer", owner, "shard", shard, "id", p.CallID, "error", err.Error())
+		}
 		r.suspect(owner, suspicionFor(err))
 	}
 	local := r.Local(shard, shards)
