Soak: targets announce that they leave and ask for pauses

Change: beside the other faults, plain targets announce in their responses that they leave and then start again, or turn calls away and ask for a pause. Each VM's process may send such a target only what its callers have in flight at once.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -75,6 +75,8 @@
 	targetLinks   []*linkProxy
 	engineTargets []*radishadaptertest.Target
 	startedAt     time.Time
+	// starts counts the starts of all VMs' processes.
+	starts atomic.Int64
 
 	mu    sync.Mutex
 	calls []soakCall
@@ -114,7 +116,10 @@
 			callers.Go(func() { s.sendUntil(stop, vm, random) })
 		}
 	}
+	var announcements sync.WaitGroup
+	announcements.Go(func() { s.announce(seed, time.Duration(*soakSeconds)*time.Second) })
 	s.injectFaults(time.Duration(*soakSeconds) * time.Second)
+	announcements.Wait()
 	s.checkRecovery()
 	close(stop)
 	callers.Wait()
@@ -128,14 +133,10 @@
 	s := &soak{siteCluster: newSiteCluster(t), random: rand.New(rand.NewPCG(seed, 0)), startedAt: time.Now()}
 	secondEngine := s.addTarget(&radishadaptertest.Target{ID: "engine-1", Events: 5, Delay: 5 * time.Millisecond}, "engine")
 	s.engineTargets = []*radishadaptertest.Target{s.engineTarget, secondEngine}
-	for service, targets := range map[string][]*radishadaptertest.Target{"plain": s.plainTargets, "stage": s.stageTargets, "engine": s.engineTargets} {
-		for _, target := range targets {
-			l := newLinkProxy(t, target.Address)
-			target.Address = l.address
-			s.targetLinks = append(s.targetLinks, l)
-			s.store.Put("servers", target.ID, target.Record(service, "bandung", "ready"))
-		}
-	}
+	// The order of the links is fixed, so that a seed fixes which of them a fault hits.
+	s.linkTargets("plain", s.plainTargets)
+	s.linkTargets("stage", s.stageTargets)
+	s.linkTargets("engine", s.engineTargets)
 	logDir, err := os.MkdirTemp("", "soak-")
 	if err != nil {
 		t.Fatal(err)
@@ -168,8 +169,19 @@
 	return s
 }
 
+// linkTargets places a link between the entry VMs and each of the targets.
+func (s *soak) linkTargets(service string, targets []*radishadaptertest.Target) {
+	for _, target := range targets {
+		l := newLinkProxy(s.t, target.Address)
+		target.Address = l.address
+		s.targetLinks = append(s.targetLinks, l)
+		s.store.Put("servers", target.ID, target.Record(service, "bandung", "ready"))
+	}
+}
+
 // startMonitored starts the VM's process and fails the test if the process exits without a fault that causes it.
 func (s *soak) startMonitored(vm *soakVM) {
+	s.starts.Add(1)
 	isExpected, exited := &atomic.Bool{}, make(chan struct{})
 	vm.exitExpected, vm.exited = isExpected, exited
 	s.startProcess(vm.siteVM)
