--- a/tools/model.sh
+++ b/tools/model.sh
@@ -27,7 +27,7 @@
   )
 }
 
-for model in claim steward config mirror coordinate incumbent; do
+for model in claim steward config mirror coordinate incumbent leaving; do
   read -r errors states incomplete < <(check "$model")
   if [ "$errors" = 0 ] && [ "$incomplete" = 0 ]; then
     echo "model: $model holds in all $states states"
