--- a/e2e/deadly_test.go
+++ b/e2e/harmful_prompt_test.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// deadlyPart is the part of a prompt that crashes engines.
-	deadlyPart = "dead00"
+	// harmfulPart is the part of a prompt that crashes engines.
+	harmfulPart = "dead00"
 	// stabilityWindow is the time that VMs have to stop sending calls with such a part, from the fifth crash on.
 	stabilityWindow = 3 * time.Second
-	// maxDeadlyArrivals is how many of these calls may reach engines after that.
-	maxDeadlyArrivals = 3
+	// maxHarmfulArrivals is how many of these calls may reach engines after that.
+	maxHarmfulArrivals = 3
 	// engineDownTime is the time between the crash of an engine and its restart.
 	engineDownTime = time.Second
 )
@@ -30,7 +30,7 @@
 	arrivals []time.Time
 }
 
-// lateArrivals returns how many calls with the deadly part arrived later than the stability window after the fifth crash.
+// lateArrivals returns how many calls with the harmful part arrived later than the stability window after the fifth crash.
 func (c *crashes) lateArrivals() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -52,7 +52,7 @@
 	return len(c.at)
 }
 
-// crashingEngine is an engine that crashes when it starts to respond to a call with the deadly part.
+// crashingEngine is an engine that crashes when it starts to respond to a call with the harmful part.
 type crashingEngine struct {
 	t       *testing.T
 	target  *radishadaptertest.Target
@@ -82,7 +82,7 @@
 }
 
 func (e *crashingEngine) serve(w http.ResponseWriter, r *http.Request) {
-	if !strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart) {
+	if !strings.Contains(r.Header.Get("Prompt-Prefix"), harmfulPart) {
 		e.target.Handler().ServeHTTP(w, r)
 		return
 	}
@@ -141,9 +141,9 @@
 	answered, sent := 0, 0
 	for i, startedAt := 0, time.Now(); time.Since(startedAt) < 4*stabilityWindow; i++ {
 		vm := vms[i%len(vms)]
-		prompt := fmt.Sprintf("aa:80,b%d:20,%s:20,c%d:20", i%9, deadlyPart, i)
+		prompt := fmt.Sprintf("aa:80,b%d:20,%s:20,c%d:20", i%9, harmfulPart, i)
 		if status, body := s.call(vm, "/stream/x", map[string]string{"Model": "m", "Token-Usage": "140,40", "Prompt-Prefix": prompt}); status == http.StatusOK {
-			t.Errorf("call with the deadly part: got status %d, body %q", status, body)
+			t.Errorf("call with the harmful part: got status %d, body %q", status, body)
 		}
 		status, _ := s.call(vm, "/stream/x", map[string]string{"Model": "m", "Token-Usage": "120,40", "Prompt-Prefix": fmt.Sprintf("aa:80,b%d:20,d%d:20", i%9, i)})
 		if time.Since(startedAt) > 2*stabilityWindow {
@@ -154,8 +154,8 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	if late := seen.lateArrivals(); late > maxDeadlyArrivals {
-		t.Errorf("%d calls with the part reached engines later than %v after the fifth of %d crashes, want at most %d", late, stabilityWindow, seen.count(), maxDeadlyArrivals)
+	if late := seen.lateArrivals(); late > maxHarmfulArrivals {
+		t.Errorf("%d calls with the part reached engines later than %v after the fifth of %d crashes, want at most %d", late, stabilityWindow, seen.count(), maxHarmfulArrivals)
 	}
 	if 2*answered < sent {
 		t.Errorf("%d of %d sound calls were answered, want at least half", answered, sent)
--- a/internal/radishrelay/deadly_test.go
+++ b/internal/radishrelay/harmful_prompt_test.go
@@ -13,19 +13,19 @@
 	"radishramp.example/radishramp/pkg/radishroute"
 )
 
-// Bounds on calls with a part of a prompt that crashes targets: from deadlyGrace after the deadlyCrashes-th crash, at most
-// maxDeadlyArrivals of them may reach targets.
+// Bounds on calls with a part of a prompt that crashes targets: from harmfulGrace after the harmfulCrashes-th crash, at most
+// maxHarmfulArrivals of them may reach targets.
 const (
-	deadlyCrashes     = 5
-	deadlyGrace       = 3 * time.Second
-	maxDeadlyArrivals = 3
+	harmfulCrashes     = 5
+	harmfulGrace       = 3 * time.Second
+	maxHarmfulArrivals = 3
 )
 
-// deadlyTargets crash whenever they start to respond to a call whose prompt contains the part "deadly".
-type deadlyTargets struct{ crashedAt []time.Time }
+// harmfulTargets crash whenever they start to respond to a call whose prompt contains the part "harmful".
+type harmfulTargets struct{ crashedAt []time.Time }
 
-func (d *deadlyTargets) respond(ctx context.Context, req *radish.ForwardRequest) (*radish.TargetResponse, error) {
-	if slices.Contains(promptIDs(req.Call.Prompt), "deadly") {
+func (d *harmfulTargets) respond(ctx context.Context, req *radish.ForwardRequest) (*radish.TargetResponse, error) {
+	if slices.Contains(promptIDs(req.Call.Prompt), "harmful") {
 		d.crashedAt = append(d.crashedAt, time.Now())
 		return nil, errReset
 	}
@@ -33,10 +33,10 @@
 }
 
 // countLate returns the number of crashes later than allowed.
-func (d *deadlyTargets) countLate() int {
+func (d *harmfulTargets) countLate() int {
 	late := 0
 	for _, at := range d.crashedAt {
-		if len(d.crashedAt) >= deadlyCrashes && at.Sub(d.crashedAt[deadlyCrashes-1]) > deadlyGrace {
+		if len(d.crashedAt) >= harmfulCrashes && at.Sub(d.crashedAt[harmfulCrashes-1]) > harmfulGrace {
 			late++
 		}
 	}
@@ -55,15 +55,15 @@
 // team and other parts. Few of the former may reach targets; the latter must be answered.
 func TestPromptPartCrashesTargetAfterTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		targets := &deadlyTargets{}
+		targets := &harmfulTargets{}
 		relay, _ := newRelay(&radishroute.Route{Kind: radishroute.KindStream, IsResumable: true, MaxAttempts: 2}, targets.respond)
 		relay.Prober = fakeProber(func(string) bool { return true })
 		unanswered := 0
 		for i := range 60 {
 			call := newCall()
-			call.Prompt = promptOf("first", fmt.Sprint("subject-", i%7), "deadly", fmt.Sprint("own-", i))
+			call.Prompt = promptOf("first", fmt.Sprint("subject-", i%7), "harmful", fmt.Sprint("own-", i))
 			if w := handle(t.Context(), relay, call); w.status == http.StatusOK {
-				t.Errorf("deadly call %d: status %d", i, w.status)
+				t.Errorf("harmful call %d: status %d", i, w.status)
 			}
 			call = newCall()
 			call.Prompt = promptOf("first", fmt.Sprint("subject-", i%7), fmt.Sprint("own-", i))
@@ -72,8 +72,8 @@
 			}
 			time.Sleep(200 * time.Millisecond)
 		}
-		if late := targets.countLate(); late > maxDeadlyArrivals {
-			t.Errorf("%d of %d crashes came later than %v after the fifth, want at most %d", late, len(targets.crashedAt), deadlyGrace, maxDeadlyArrivals)
+		if late := targets.countLate(); late > maxHarmfulArrivals {
+			t.Errorf("%d of %d crashes came later than %v after the fifth, want at most %d", late, len(targets.crashedAt), harmfulGrace, maxHarmfulArrivals)
 		}
 		if unanswered > 0 {
 			t.Errorf("%d of 60 sound calls were not answered", unanswered)
--- a/internal/radishsite/crash_test.go
+++ b/internal/radishsite/crash_test.go
@@ -17,7 +17,7 @@
 		vms := startVMs(t, 30)
 		for i := range 3 {
 			vm := vms[i*7]
-			vm.quarantine.RecordCrash(fmt.Sprint("target-", i), "s", []string{"first", "deadly"}, time.Now())
+			vm.quarantine.RecordCrash(fmt.Sprint("target-", i), "s", []string{"first", "harmful"}, time.Now())
 			vm.shareReports()
 			time.Sleep(400 * time.Millisecond)
 		}
@@ -26,7 +26,7 @@
 		}
 		time.Sleep(1500 * time.Millisecond)
 		for _, vm := range vms {
-			if d := vm.quarantine.Check([]string{"first", "deadly"}, time.Now()); d.Verdict != radishquarantine.Refused {
+			if d := vm.quarantine.Check([]string{"first", "harmful"}, time.Now()); d.Verdict != radishquarantine.Refused {
 				t.Errorf("%s: verdict %v on a call with the part", vm.self.Name, d.Verdict)
 			}
 			if d := vm.quarantine.Check([]string{"first"}, time.Now()); d.Verdict != radishquarantine.Allowed {
@@ -42,12 +42,12 @@
 	inBubble(t, func(t *testing.T) {
 		vms := startVMs(t, 5)
 		for i := range 3 {
-			vms[0].quarantine.RecordCrash(fmt.Sprint("target-", i), "s", []string{"deadly"}, time.Now())
+			vms[0].quarantine.RecordCrash(fmt.Sprint("target-", i), "s", []string{"harmful"}, time.Now())
 			time.Sleep(time.Second)
 		}
 		time.Sleep(2 * time.Second)
 		for _, vm := range vms[1:] {
-			if d := vm.quarantine.Check([]string{"deadly"}, time.Now()); d.Verdict != radishquarantine.Refused {
+			if d := vm.quarantine.Check([]string{"harmful"}, time.Now()); d.Verdict != radishquarantine.Refused {
 				t.Errorf("%s: verdict %v on a call with the part", vm.self.Name, d.Verdict)
 			}
 		}
@@ -60,7 +60,7 @@
 		vms := startVMs(t, 8)
 		owners := 0
 		for _, vm := range vms {
-			if vm.isTrialVM("deadly") {
+			if vm.isTrialVM("harmful") {
 				owners++
 			}
 		}
--- a/pkg/radishquarantine/quarantine_test.go
+++ b/pkg/radishquarantine/quarantine_test.go
@@ -39,10 +39,10 @@
 		crashes [][]string
 		want    []string
 	}{
-		{"two crashes", [][]string{{"a", "deadly"}, {"b", "deadly"}}, nil},
-		{"three crashes", [][]string{{"a", "deadly"}, {"b", "deadly"}, {"c", "deadly"}}, []string{"deadly"}},
-		{"other calls cut in two of four crashes", [][]string{{"deadly", "x"}, {"deadly", "x"}, {"deadly"}, {"deadly"}}, []string{"deadly"}},
-		{"another call cut in three of four crashes", [][]string{{"deadly", "x"}, {"deadly", "x"}, {"deadly", "x"}, {"deadly"}}, []string{"deadly"}},
+		{"two crashes", [][]string{{"a", "harmful"}, {"b", "harmful"}}, nil},
+		{"three crashes", [][]string{{"a", "harmful"}, {"b", "harmful"}, {"c", "harmful"}}, []string{"harmful"}},
+		{"other calls cut in two of four crashes", [][]string{{"harmful", "x"}, {"harmful", "x"}, {"harmful"}, {"harmful"}}, []string{"harmful"}},
+		{"another call cut in three of four crashes", [][]string{{"harmful", "x"}, {"harmful", "x"}, {"harmful", "x"}, {"harmful"}}, []string{"harmful"}},
 		{"two parts that are always together", [][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}}, []string{"a,b"}},
 		{"one of two parts also without the other", [][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}, {"b"}}, []string{"b"}},
 		{"two causes", [][]string{{"a"}, {"b"}, {"a"}, {"b"}, {"a"}, {"b"}}, []string{"a", "b"}},
@@ -64,7 +64,7 @@
 	q := &Quarantine{}
 	now := testStart
 	for i := range 6 {
-		q.RecordCrash(fmt.Sprint("target-", i), "s", []string{"first", "subject", "deadly"}, now)
+		q.RecordCrash(fmt.Sprint("target-", i), "s", []string{"first", "subject", "harmful"}, now)
 		q.RecordCrash(fmt.Sprint("target-", i), "s", []string{"first", "subject"}, now)
 		q.RecordAnswer("s", []string{"first", "subject"}, now.Add(500*time.Millisecond))
 		now = now.Add(time.Second)
@@ -72,8 +72,8 @@
 	if d := q.Check([]string{"first", "subject"}, now); d.Verdict != Allowed {
 		t.Errorf("sound call: verdict %v, group %v", d.Verdict, d.Group)
 	}
-	if d := q.Check([]string{"first", "subject", "deadly"}, now); d.Verdict != Refused || d.RetryAfter <= 0 {
-		t.Errorf("deadly call: verdict %v, retry after %v", d.Verdict, d.RetryAfter)
+	if d := q.Check([]string{"first", "subject", "harmful"}, now); d.Verdict != Refused || d.RetryAfter <= 0 {
+		t.Errorf("harmful call: verdict %v, retry after %v", d.Verdict, d.RetryAfter)
 	}
 }
 
@@ -111,9 +111,9 @@
 // TestAnswerOfAnotherServiceClearsNothing has a part crash the targets of one service that another service can process.
 func TestAnswerOfAnotherServiceClearsNothing(t *testing.T) {
 	q := &Quarantine{}
-	end := replay(q, []string{"deadly"}, []string{"deadly"}, []string{"deadly"})
-	q.RecordAnswer("other", []string{"deadly"}, end)
-	if got := groupKeys(q, end); !slices.Equal(got, []string{"deadly"}) {
+	end := replay(q, []string{"harmful"}, []string{"harmful"}, []string{"harmful"})
+	q.RecordAnswer("other", []string{"harmful"}, end)
+	if got := groupKeys(q, end); !slices.Equal(got, []string{"harmful"}) {
 		t.Errorf("quarantined %v", got)
 	}
 }
@@ -122,18 +122,18 @@
 // target, until it is known which part it is.
 func TestUndecidedPartsAreSentOnce(t *testing.T) {
 	q := &Quarantine{}
-	end := replay(q, []string{"subject", "deadly"}, []string{"subject", "deadly"}, []string{"subject", "deadly"})
-	if d := q.Check([]string{"subject", "deadly"}, end); d.Verdict != Refused {
+	end := replay(q, []string{"subject", "harmful"}, []string{"subject", "harmful"}, []string{"subject", "harmful"})
+	if d := q.Check([]string{"subject", "harmful"}, end); d.Verdict != Refused {
 		t.Errorf("call with both parts: verdict %v", d.Verdict)
 	}
-	for _, part := range []string{"subject", "deadly"} {
+	for _, part := range []string{"subject", "harmful"} {
 		if d := q.Check([]string{part}, end); d.Verdict != Once {
 			t.Errorf("call with %s: verdict %v", part, d.Verdict)
 		}
 	}
-	q.RecordCrash("next", "s", []string{"deadly"}, end)
-	if d := q.Check([]string{"deadly"}, end); d.Verdict != Refused {
-		t.Errorf("deadly call: verdict %v", d.Verdict)
+	q.RecordCrash("next", "s", []string{"harmful"}, end)
+	if d := q.Check([]string{"harmful"}, end); d.Verdict != Refused {
+		t.Errorf("harmful call: verdict %v", d.Verdict)
 	}
 	if d := q.Check([]string{"subject"}, end); d.Verdict != Allowed {
 		t.Errorf("sound call: verdict %v", d.Verdict)
