Shorten long prompts in logs and evidence, and count long answers

Callers saw: nothing yet; a prompt of thousands of parts made log lines of some 40 kB an attempt, and its crashes were no evidence, since reports beyond the limits are ignored. Answers with a body beyond 256 KiB did not clear their parts. Cause: the parts were taken as the caller sent them; only one of the two ends of a relayed body recorded the answer. Change: 64 parts of 64 bytes at most are logged and compared, empty ones not; both ends record the answer.

--- a/internal/radishrelay/cut.go
+++ b/internal/radishrelay/cut.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -79,16 +80,24 @@
 	return isDown.(bool)
 }
 
-// promptIDs returns the IDs of the parts of a prompt.
+// Limits on what is logged and compared of the prompt of one call.
+const (
+	maxPromptIDs     = 64
+	maxPromptIDBytes = 64
+)
+
+// promptIDs returns the IDs of the first parts of a prompt, shortened to the limits.
 func promptIDs(prompt []radish.PromptPart) []string {
-	ids := make([]string, len(prompt))
-	for i, part := range prompt {
-		ids[i] = part.ID
+	ids := make([]string, min(len(prompt), maxPromptIDs))
+	for i := range ids {
+		id := prompt[i].ID
+		ids[i] = id[:min(len(id), maxPromptIDBytes)]
 	}
 	return ids
 }
 
-// sharedPromptIDs returns the IDs of the parts of a prompt but the last, which belongs to the call itself.
+// sharedPromptIDs returns the IDs of the parts of a prompt but the last, which belongs to the call itself, and but empty ones.
 func sharedPromptIDs(prompt []radish.PromptPart) []string {
-	return promptIDs(prompt[:max(0, len(prompt)-1)])
+	ids := promptIDs(prompt[:max(0, len(prompt)-1)])
+	return slices.DeleteFunc(ids, func(id string) bool { return id == "" })
 }
--- a/internal/radishrelay/cut_test.go
+++ b/internal/radishrelay/cut_test.go
@@ -126,3 +126,49 @@
 		})
 	}
 }
+
+// TestLongPromptsAreShortened has targets end under calls whose prompt is far longer than any, beside one with an empty and a very long
+// ID. Their parts must still be compared, and the log must stay short.
+func TestLongPromptsAreShortened(t *testing.T) {
+	long := promptOf("harmful", "", strings.Repeat("x", 10_000))
+	for i := range 10_000 {
+		long = append(long, radish.PromptPart{ID: fmt.Sprint(i)})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		relay, forwarder := newRelay(&radishroute.Route{Kind: radishroute.KindStream, MaxAttempts: 1}, failsWith(errReset))
+		var log bytes.Buffer
+		relay.Log = hclog.New(&hclog.LoggerOptions{Output: &log, JSONFormat: true})
+		relay.Prober = fakeProber(func(string) bool { return true })
+		for range 6 {
+			call := newCall()
+			call.Prompt = long
+			handle(t.Context(), relay, call)
+			time.Sleep(time.Second)
+		}
+		if n := len(forwarder.sends); n != 3 {
+			t.Errorf("%d of 6 calls reached targets, want 3", n)
+		}
+		const wantLogBytes = 6 * 4 * 2000
+		if log.Len() > wantLogBytes {
+			t.Errorf("%d bytes were logged for 6 calls, want at most %d", log.Len(), wantLogBytes)
+		}
+	})
+}
+
+// TestLongAnswerClearsItsParts has a call answered with a body beyond what is buffered, between the crashes of targets under others.
+func TestLongAnswerClearsItsParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		body := strings.Repeat("x", 2*maxBufferedBytes)
+		relay, _ := newRelay(&radishroute.Route{Kind: radishroute.KindAtMostOnce}, failsWith(errReset), failsWith(errReset), respondsWith(http.StatusOK, body), failsWith(errReset))
+		relay.Prober = fakeProber(func(string) bool { return true })
+		for range 4 {
+			call := newCall()
+			call.Prompt = promptOf("shared", "own")
+			handle(t.Context(), relay, call)
+			time.Sleep(time.Second)
+		}
+		if got := relay.Quarantine.Groups(time.Now()); len(got) > 0 {
+			t.Errorf("quarantined %v", got)
+		}
+	})
+}
--- a/internal/radishrelay/response.go
+++ b/internal/radishrelay/response.go
@@ -64,6 +64,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			e.outcome = outcomeAnswered
+			e.recordAnswer()
 			return decisionDone, radishfleet.Outcome{}
 		}
 		if err != nil {
