--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -60,6 +61,10 @@
 	store   *store
 	vms     []*vm
 	closers []func()
+
+	// startMu guards isClosing and the start of processes, so that none is started after close has begun.
+	startMu   sync.Mutex
+	isClosing bool
 }
 
 func newEnv(folder string) (*env, error) {
@@ -104,6 +109,9 @@
 
 // close ends all processes that the case started.
 func (e *env) close() {
+	e.startMu.Lock()
+	e.isClosing = true
+	e.startMu.Unlock()
 	for _, v := range e.vms {
 		v.kill()
 	}
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -128,6 +129,11 @@
 
 // start starts the VM's process; wrap, if any, are words before its command.
 func (v *vm) start(wrap ...string) error {
+	v.e.startMu.Lock()
+	defer v.e.startMu.Unlock()
+	if v.e.isClosing {
+		return errors.New("the case is ending")
+	}
 	file := filepath.Join(v.e.temp, v.name+".conf")
 	if err := os.WriteFile(file, []byte(v.settings), 0o600); err != nil {
 		return err
