Review case 4: say so when the case cannot run

Cause: with too low a limit of descriptors for the stand-in, or too few clients, the script would have passed without a test.

--- a/review/standin/descriptor.go
+++ b/review/standin/descriptor.go
@@ -16,6 +16,8 @@
 const (
 	// maxDescriptors is limits.max_fds of the settings, which the platform applies to each process.
 	maxDescriptors = 2870
+	// neededDescriptors is what the stand-in itself needs for its clients and workers.
+	neededDescriptors = 4000
 	// newUsersPerSecond is how many clients open a connection to the VM of their zone in each second.
 	newUsersPerSecond = 55
 	descriptorTime    = 80 * time.Second
@@ -37,6 +39,10 @@
 // runDescriptor plays clients that keep their connections open, each with one lookup, beside a few that read streams. The VMs
 // of the other zone are stopped and started in turn.
 func runDescriptor(e *env) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < neededDescriptors {
+		return fmt.Errorf("the clients need %d descriptors, the limit is %d: %v", neededDescriptors, limit.Cur, err)
+	}
 	reads := &worker{id: "i-02d9e6b4", service: "wuno96b", zone: "jawa-barat", slots: 64}
 	reads.handle = func(c *workerConn, r *http.Request, _ []byte) bool {
 		time.Sleep(15 * time.Millisecond)
@@ -195,6 +201,9 @@
 	}
 	cancel()
 	wg.Wait()
+	if e.trouble && !isRolled {
+		return fmt.Errorf("fewer than %d clients came within %v", rollAt, descriptorTime)
+	}
 	return nil
 }
 
