--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,7 +34,6 @@
 	settings string
 	cmd      *exec.Cmd
 	exited   chan struct{}
-	isKilled atomic.Bool
 }
 
 // freeNetwork returns the first three numbers of loopback addresses on which the ports of an entry VM are free.
@@ -182,7 +180,6 @@
 
 func (v *vm) kill() {
 	if v.isRunning() {
-		v.isKilled.Store(true)
 		_ = v.cmd.Process.Kill()
 		<-v.exited
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -29,9 +28,7 @@
 	// handle answers a request whose body has been read; it returns false if the connection is to be closed.
 	handle func(c *workerConn, r *http.Request, body []byte) bool
 
-	mu       sync.Mutex
 	listener net.Listener
-	conns    map[*workerConn]bool
 }
 
 // startWorker starts a worker and registers it in the store.
@@ -40,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	w.e, w.listener, w.address, w.conns = e, listener, listener.Addr().String(), make(map[*workerConn]bool)
+	w.e, w.listener, w.address = e, listener, listener.Addr().String()
 	go w.accept()
 	e.closers = append(e.closers, func() { _ = listener.Close() })
 	w.register("ready")
