--- a/cmd/site.go
+++ b/cmd/site.go
@@ -63,7 +63,7 @@
 func newSiteServer(site *radish.PlatformSettings, log hclog.Logger, metricsPort string) *radishsite.Server {
 	targets := &radishadapter.TargetClient{
 		ForwardHTTP: &http.Client{Transport: radishadapter.NewTransport(false)},
-		StageHTTP:   &http.Client{Transport: radishadapter.NewTransport(true)},
+		ReleaseHTTP: &http.Client{Transport: radishadapter.NewTransport(true)},
 	}
 	host, _, _ := net.SplitHostPort(site.CallerAddress)
 	server := &radishsite.Server{
--- a/internal/radishrelay/stream.go
+++ b/internal/radishrelay/stream.go
@@ -87,24 +87,27 @@
 // readEvent returns the bytes of the next event, including the empty line that terminates it, and its ID. At the end
 // of the stream it returns io.EOF, without bytes if the stream ended cleanly and with the partial event otherwise.
 func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
+	lineStart := 0
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return event, "", err
-		}
+		part, err := r.ReadSlice('\n')
+		event = append(event, part...)
 		if len(event) > maxEventBytes {
 			return nil, "", errEventTooLong
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			// The line is longer than the buffer; only its end shows whether it is empty.
 			continue
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if len(trimmed) == 0 {
+		if err != nil {
+			return event, "", err
+		}
+		line := bytes.TrimRight(event[lineStart:], "\r\n")
+		if len(line) == 0 {
 			return event, id, nil
 		}
-		if value, ok := bytes.CutPrefix(trimmed, idField); ok {
+		if value, ok := bytes.CutPrefix(line, idField); ok {
 			id = string(bytes.TrimSpace(value))
 		}
+		lineStart = len(event)
 	}
 }
--- a/internal/radishsite/quota.go
+++ b/internal/radishsite/quota.go
@@ -1,6 +1,8 @@
 package radishsite
 
 import (
+	"time"
+
 	"radishramp.example/radishramp/pkg/radish"
 )
 
@@ -35,3 +37,36 @@
 	}
 	return quota
 }
+
+const (
+	// reservedFDs is the number of descriptors of a process that are kept for files.
+	reservedFDs = 200
+	// callerFDShare is the share of the other descriptors for connections of callers. Each of their requests may need another one for the
+	// connection to a target, and the rest is for peers, the store and calls to stage targets.
+	callerFDShare = 0.4
+)
+
+// maxCallerConns returns the highest number of open connections of callers, or 0 if the number of descriptors is not limited.
+func (s *Server) maxCallerConns() int {
+	fds := s.currentSettings.Load().MaxFDs
+	if fds <= 0 {
+		return 0
+	}
+	return max(1, int(callerFDShare*float64(fds-reservedFDs)))
+}
+
+// headerTimeout returns how long a caller's new connection may stay open without a request.
+func (s *Server) headerTimeout() time.Duration {
+	if cfg := s.state.config.Load(); cfg != nil && cfg.Limits.HeaderTimeout > 0 {
+		return min(headerTimeout, cfg.Limits.HeaderTimeout)
+	}
+	return headerTimeout
+}
+
+// idleTimeout returns how long a caller's connection may stay open between two requests.
+func (s *Server) idleTimeout() time.Duration {
+	if cfg := s.state.config.Load(); cfg != nil && cfg.Limits.IdleTimeout > 0 {
+		return min(idleTimeout, cfg.Limits.IdleTimeout)
+	}
+	return idleTimeout
+}
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/oklog/run"
 
+	"radishramp.example/radishramp/internal/radishconn"
 	"radishramp.example/radishramp/internal/radishdial"
 	"radishramp.example/radishramp/internal/radishgroup"
 	"radishramp.example/radishramp/internal/radishlog"
@@ -43,11 +44,10 @@
 	// the kill calls that have not run yet are refused.
 	shutdownMargin = 300 * time.Millisecond
 	refuseMargin   = 1200 * time.Millisecond
-	// headerTimeout limits the time to read a request's header.
+	// headerTimeout limits the time to read a request's header, and idleTimeout how long a caller's connection may stay idle. The
+	// configuration may set shorter times, never longer ones.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is how long a caller's connection may stay idle. It is longer than callers keep an idle connection
-	// for reuse.
-	idleTimeout = 2 * time.Minute
+	idleTimeout   = 2 * time.Minute
 )
 
 // CallerHandlerFactory returns the HTTP handler that serves callers.
@@ -79,6 +79,7 @@
 	peers           *peerManager
 	metrics         *radishmetric.Metrics
 	relay           *radishrelay.Relay
+	callerConns     *radishconn.Limiter
 	leaving         atomic.Bool
 	inFlight        atomic.Int64
 	panics          atomic.Int64
@@ -118,6 +119,9 @@
 		RetryRatio:  func() float64 { return s.currentSettings.Load().RetryBudgetRatio },
 		Engines:     &radishengine.Estimator{}, Quarantine: s.quarantine, OnEvidence: s.peers.shareReports, Metrics: s.metrics, Log: s.Log.Named("call"),
 	}
+	s.callerConns = &radishconn.Limiter{
+		Max: s.maxCallerConns, HeaderTimeout: s.headerTimeout, IdleTimeout: s.idleTimeout, Log: s.Log.Named("caller"),
+	}
 	return s.registerGauges()
 }
 
@@ -143,6 +147,16 @@
 			return float64(len(s.quarantine.Groups(time.Now())))
 		}},
 		{"radishramp_invalid_pauses", "Responses of targets that asked for a pause of no valid length.", func() float64 { return float64(s.invalidPauses.Load()) }},
+		{"radishramp_peer_accept_errors", "Failures to accept a link of a peer, for example for lack of descriptors.", func() float64 {
+			return float64(s.peers.node.AcceptErrors())
+		}},
+		{"radishramp_caller_connections", "Open connections of callers.", func() float64 { return float64(s.callerConns.Stats().Open) }},
+		{"radishramp_caller_connections_refused", "Connections of callers closed when they were accepted, beyond the limit.", func() float64 {
+			return float64(s.callerConns.Stats().Refused)
+		}},
+		{"radishramp_caller_connections_closed", "Unused connections of callers closed after their time or in favour of new ones.", func() float64 {
+			return float64(s.callerConns.Stats().Closed)
+		}},
 		{"radishramp_store_away", "1 while the store does not answer.", func() float64 { return radishmetric.BoolValue(s.state.isStoreUnreachable()) }},
 		{"radishramp_is_ready", "1 while the VM says that it is ready.", func() float64 { return radishmetric.BoolValue(s.isReady()) }},
 	}
@@ -168,7 +182,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	callerServer := &http.Server{Handler: s.trackInFlight(s.containPanics(s.callerHandler())), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callerServer := &http.Server{Handler: s.trackInFlight(s.containPanics(s.callerHandler())), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: s.callerConns.ConnState}
 	readyServer := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
 	var group run.Group
 	if err := s.addListeners(ctx, &group, callerServer, readyServer); err != nil {
@@ -257,6 +271,9 @@
 		if err != nil {
 			return trace.ConvertSystemError(err)
 		}
+		if entry.server == callerServer {
+			listener = s.callerConns.Listener(listener)
+		}
 		radishgroup.AddHTTPServer(group, entry.server, listener)
 	}
 	return nil
--- a/pkg/radish/send.go
+++ b/pkg/radish/send.go
@@ -32,6 +32,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is the factor by which work takes longer than usual at the target's machine at the moment; 0 means not reported.
+	Pace float64
 	// Reported is whether the response contained the load.
 	Reported bool
 }
--- a/pkg/radish/site.go
+++ b/pkg/radish/site.go
@@ -17,6 +17,8 @@
 	DataCentres  []string
 	StoreAddress string
 	MemoryMB     int
+	// MaxFDs is the limit on the file descriptors of the process; 0 means unknown.
+	MaxFDs int
 	// Cores is the VM's CPU limit, in cores; 0 means unknown.
 	Cores float64
 	// ShutdownGrace is the time between the termination signal and the forced kill.
--- a/pkg/radishpeer/node.go
+++ b/pkg/radishpeer/node.go
@@ -73,8 +73,12 @@
 	bytesSent     atomic.Int64
 	bytesReceived atomic.Int64
 	panics        atomic.Int64
+	acceptErrors  atomic.Int64
 }
 
+// AcceptErrors returns how often accepting a link failed, for example because the process has no descriptor left.
+func (n *Node) AcceptErrors() int64 { return n.acceptErrors.Load() }
+
 // Panics returns how many calls of peers ended because the handler panicked.
 func (n *Node) Panics() int64 { return n.panics.Load() }
 
@@ -104,19 +108,6 @@
 	return err
 }
 
-func (n *Node) acceptLinks(ctx context.Context) error {
-	for {
-		conn, err := n.Listener.Accept()
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		n.wg.Go(func() { n.serveConn(ctx, conn, "") })
-	}
-}
-
 func (n *Node) closeLinks() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
