--- a/tools/promises.sh
+++ b/tools/promises.sh
@@ -39,6 +39,8 @@
 site=./internal/radishsite
 promise "platform: each attempt is sent once, and calls reported as not run were not run" "$adapter ./internal/radishrelay" '^(TestForwardSendsEachRequestOnce|TestRetryByRouteKind|TestForwardReportsNotSentIfConnectionIsRefused)$'
 promise "platform: responses are complete and belong to their call" "$adapter ./internal/radishrelay" '^(TestForwardRejectsInvalidResponses|TestAbortedResponseIsIncomplete|TestTruncatedStreamIsAborted|TestStreamResumesOnAnotherTarget)$'
+promise "platform: results of a batch and events of a stream are complete and their own" "$adapter ./internal/radishrelay" '^(TestLateSecondCopyReachesNoOtherCall|TestHandlesOfOtherTargetsAreRefused|TestLinesThatFillTheReadBuffer|FuzzReadEvent)$'
+promise "platform: a lack of descriptors ends no VM" "./pkg/radishpeer ./internal/radishconn" '^(TestLackOfDescriptorsEndsNoNode|TestIdleConnectionsYield|TestNewConnectionsHaveTimeForTheirRequest|TestUnusedConnectionsTimeOut)$'
 promise "platform: retries stay within the budget" "./internal/radishrelay" '^TestRetriesStayWithinBudget$'
 promise "platform: configuration changes apply in time and never revert" "$site ./internal/radishsync ./pkg/radishmirror" '^(TestConfigurationReachesVMsWithoutStore|TestConfigurationVersionNeverDecreases|TestCheckerFindsChangesMissedByWatch|TestFollowerListsAgainWhenHistoryIsGone|TestApplyIgnoresOlderRecords|TestReplayLargeConfigurationOverSlowLinks|TestPeerUnawareOfRemovedRecordIsDetected|TestOutdatedStateIsIgnored)$'
 promise "platform: leaving and evacuated targets get no calls" "./pkg/radishfleet $site ./e2e" '^(TestLeavingAndEvacuatedTargetsAreNotPicked|TestTargetsFollowTheirRecords|TestEvacuationIsRevoked|TestSiteFollowsChanges)$'
