--- a/internal/radishstage/router.go
+++ b/internal/radishstage/router.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/singleflight"
 
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
@@ -52,6 +53,7 @@
 	// suspects holds, for each VM that did not answer, the time until which it gets no plans.
 	suspects map[string]time.Time
 	silence  silenceDetector
+	checks   singleflight.Group
 }
 
 // Run executes the plan at the VM that coordinates its shard. It returns a *RefusedError if there is no capacity for the plan.
@@ -80,6 +82,9 @@
 			r.Log.Warn("coordinator did not answer", "peer", owner, "shard", shard, "id", p.CallID, "error", err.Error())
 		}
 		r.suspect(owner, suspicionFor(err))
+		if !errors.Is(err, ErrMoved) {
+			r.checkOwners(ctx, shard, shards)
+		}
 	}
 	local := r.Local(shard, shards)
 	result, err := local.Run(ctx, p)
