Admit and run plans by priority where capacity is short

Admission knew due times only. Urgent plans that arrived after less urgent ones were refused because of work that was due before them or that they would have made late.

Plans carry priority, team and value over the peer link. A plan does not count work of lower priority that has not begun as ahead of it. If it can be in time only without that work, as much of it as the plan displaces is refused as not run. If capacity is short, pieces run in the order of priority before that of due times. Plans below the highest priority are held until the targets of all their stages can take them soon, so that they can still give way and occupy no space for results. Started plans are never ended for others. Plans without a priority, as from VMs of earlier releases and in deployments where no priorities compete, keep the order of due times.

--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -10,6 +10,7 @@
 	"radishramp.example/radishramp/internal/radishlog"
 	"radishramp.example/radishramp/internal/radishstage"
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishbatch"
 	"radishramp.example/radishramp/pkg/radishfleet"
 )
@@ -93,6 +94,12 @@
 		CallID: e.call.ID, Key: e.call.PieceKey, Due: e.latencyDeadline.Add(-engineTime), Deadline: e.deadline.Add(-engineTime),
 		Near: e.preferredDataCentre, Worth: 1 / float64(1+e.route.PriorityOf(e.team)),
 	}
+	if e.cfg.HasCompetingStages(e.route) {
+		u := radishadmission.Urgency{
+			Priority: e.route.PriorityOf(e.team), Team: e.teamName(), Value: float64(e.call.InputTokens + e.call.OutputTokens),
+		}.Validated()
+		p.Urgency = &u
+	}
 	for i, s := range e.route.Stages {
 		p.Stages = append(p.Stages, radishstage.Stage{Service: s.Service, After: s.After, Pieces: e.pieceCount(i), ResultBytes: s.ResultBytes})
 	}
--- a/internal/radishrelay/stage_test.go
+++ b/internal/radishrelay/stage_test.go
@@ -11,6 +11,7 @@
 
 	"radishramp.example/radishramp/internal/radishstage"
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishroute"
 )
@@ -202,3 +203,39 @@
 }
 
 func (blockingStages) Free(context.Context, string, []string) {}
+
+// TestPlanHasUrgencyOnlyWherePrioritiesCompete checks that plans carry priority, team and value if routes of different priority, or teams
+// with priorities, share a stage service, and that the order is unchanged in other deployments.
+func TestPlanHasUrgencyOnlyWherePrioritiesCompete(t *testing.T) {
+	priority := 4
+	tests := []struct {
+		name   string
+		change func(cfg *radishroute.Config)
+		want   *radishadmission.Urgency
+	}{
+		{"one route", func(*radishroute.Config) {}, nil},
+		{"route of another priority at the same stages", func(cfg *radishroute.Config) {
+			cfg.Routes = append(cfg.Routes, &radishroute.Route{Priority: 2, Stages: []radishroute.Stage{{Service: "rank"}}})
+		}, &radishadmission.Urgency{Team: "roads", Value: 150}},
+		{"route of another priority at other stages", func(cfg *radishroute.Config) {
+			cfg.Routes = append(cfg.Routes, &radishroute.Route{Priority: 2, Stages: []radishroute.Stage{{Service: "other"}}})
+		}, nil},
+		{"team with a priority", func(cfg *radishroute.Config) {
+			cfg.Teams["other"] = &radishroute.Team{Name: "rails", Priority: &priority}
+		}, &radishadmission.Urgency{Team: "roads", Value: 150}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			relay, _ := newRelay(routeWithStages(), streamsEvents(2, false))
+			tc.change(relay.Config())
+			relay.Config().BuildIndex()
+			call := newCall()
+			call.Pieces, call.InputTokens, call.OutputTokens = []int{1, 1}, 100, 50
+			handle(t.Context(), relay, call)
+			got := relay.Stages.(*fakeStages).plans[0].Urgency
+			if (got == nil) != (tc.want == nil) || got != nil && *got != *tc.want {
+				t.Errorf("got %+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -24,27 +24,41 @@
 
 // expectedTime returns the estimated time of the plan behind the work that was admitted before, or the error with which the
 // plan is refused. A plan that cannot finish in time is admitted only while queues are short, so that it does not make
-// others late.
-func (c *Coordinator) expectedTime(p *Plan, now time.Time) (time.Duration, error) {
-	backlogs, needs := c.serviceBacklogs(p, now), p.stageNeeds(p.dueTimes(c.typicalTime), now)
+// others late. The result needsRoom is whether the plan can be in time only if work of lower classes gives way.
+func (c *Coordinator) expectedTime(p *Plan, class int, now time.Time) (expected time.Duration, needsRoom bool, err error) {
+	backlogs, needs := c.serviceBacklogs(p, radishbatch.LastClass, now), p.stageNeeds(p.dueTimes(c.typicalTime), now)
 	expected, ok := radishbatch.EstimateDuration(backlogs, needs)
 	if !ok {
-		return 0, c.refuse(p, &RefusedError{RetryAfter: c.untilResumed(p, now), Reason: "a stage has no target"}, 0)
+		return 0, false, c.refuse(p, &RefusedError{RetryAfter: c.untilResumed(p, now), Reason: "a stage has no target"}, 0)
 	}
 	delaysOthers := radishbatch.DelaysOthers(backlogs, needs)
 	unloaded, _ := radishbatch.EstimateDuration(radishbatch.Unloaded(backlogs), needs)
-	isInTime := !now.Add(time.Duration(inTimeMargin * float64(expected))).After(p.Due)
+	isInTime := p.isInTime(expected, now)
 	isQueueShort := expected-unloaded <= lateAdmissionMaxWait && expected < p.Deadline.Sub(now)
 	if !delaysOthers && (isInTime || isQueueShort) {
-		return expected, nil
+		return expected, false, nil
 	}
+	if p.Urgency != nil {
+		backlogs = c.serviceBacklogs(p, class, now)
+		expected, _ = radishbatch.EstimateDuration(backlogs, needs)
+		delaysOthers = radishbatch.DelaysOthers(backlogs, needs)
+		if !delaysOthers && p.isInTime(expected, now) {
+			return expected, true, nil
+		}
+	}
+	c.recordShortage(p, now)
 	reason := fmt.Sprintf("stages need %v, %v are left to be in time", expected.Round(time.Millisecond),
 		p.Due.Sub(now).Round(time.Millisecond))
 	if delaysOthers {
 		reason += ", others would be late"
 	}
 	behindAll, _ := radishbatch.EstimateDuration(backlogs, radishbatch.DueLast(needs))
-	return 0, c.refuse(p, &RefusedError{RetryAfter: max(minRetryAfter, behindAll-unloaded), Reason: reason}, expected)
+	return 0, false, c.refuse(p, &RefusedError{RetryAfter: max(minRetryAfter, behindAll-unloaded), Reason: reason}, expected)
+}
+
+// isInTime reports whether the plan is in time if it takes the expected time.
+func (p *Plan) isInTime(expected time.Duration, now time.Time) bool {
+	return !now.Add(time.Duration(inTimeMargin * float64(expected))).After(p.Due)
 }
 
 // noTargetRetryAfter is the time after which a plan may be retried for which a stage has no target.
@@ -77,8 +91,8 @@
 	return err
 }
 
-// serviceBacklogs returns the demand on and the capacity of each service that the plan uses.
-func (c *Coordinator) serviceBacklogs(p *Plan, now time.Time) map[string]radishbatch.Backlog {
+// serviceBacklogs returns the demand of the classes up to the given one on, and the capacity of, each service that the plan uses.
+func (c *Coordinator) serviceBacklogs(p *Plan, through int, now time.Time) map[string]radishbatch.Backlog {
 	backlogs := make(map[string]radishbatch.Backlog)
 	for _, s := range p.Stages {
 		if _, ok := backlogs[s.Service]; ok || s.Pieces == 0 {
@@ -90,31 +104,36 @@
 		}
 		backlog := radishbatch.Backlog{TypicalBatchTime: typicalCallTime(batch)}
 		if upcoming := c.upcoming[s.Service]; upcoming != nil {
-			upcoming.AddTo(&backlog.Demand, now)
+			upcoming.AddTo(&backlog.Demand, through, now)
+		}
+		if held := c.held[s.Service]; held != nil {
+			held.AddTo(&backlog.Demand, through, now)
 		}
 		if q := c.queues[s.Service]; q != nil {
-			q.AddToDemand(&backlog.Demand, now)
+			q.AddClassesToDemand(&backlog.Demand, through, now)
 		}
-		c.addCapacity(&backlog, s, batch, now)
+		c.addCapacity(&backlog, s.Service, s.ResultBytes, batch, now)
 		backlogs[s.Service] = backlog
 	}
 	return backlogs
 }
 
 // addCapacity adds the throughput of the stage's usable targets, which is limited by call time or by space for results.
-func (c *Coordinator) addCapacity(backlog *radishbatch.Backlog, s Stage, batch *radishroute.BatchSettings, now time.Time) {
+func (c *Coordinator) addCapacity(
+	backlog *radishbatch.Backlog, service string, resultBytes int64, batch *radishroute.BatchSettings, now time.Time,
+) {
 	fullCallTime := batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
 	timeLimit := float64(batch.MaxPieces) / fullCallTime.Seconds()
-	for _, t := range c.usableTargets(s.Service, now) {
+	for _, t := range c.usableTargets(service, now) {
 		state := c.stateOf(t)
 		backlog.Targets++
 		if state.activeCalls >= batch.Slots {
 			backlog.BusyTargets++
 		}
 		perSecond := timeLimit
-		if s.ResultBytes > 0 {
-			results := state.space.AvailableShare(batch.ResultMemoryBytes, now) * float64(batch.ResultMemoryBytes) / float64(s.ResultBytes)
-			perSecond = min(perSecond, results/(fullCallTime+c.expectedRetention(s.Service)).Seconds())
+		if resultBytes > 0 {
+			results := state.space.AvailableShare(batch.ResultMemoryBytes, now) * float64(batch.ResultMemoryBytes) / float64(resultBytes)
+			perSecond = min(perSecond, results/(fullCallTime+c.expectedRetention(service)).Seconds())
 		}
 		backlog.PiecesPerSecond += plannedThroughput * perSecond / max(1, state.slowness)
 	}
@@ -127,12 +146,16 @@
 		if j.stages[i].queued || stage.Pieces == 0 {
 			continue
 		}
-		counts := c.upcoming[stage.Service]
+		upcoming := c.upcoming
+		if j.isHeld {
+			upcoming = c.held
+		}
+		counts := upcoming[stage.Service]
 		if counts == nil {
-			counts = &radishbatch.DueCounts{}
-			c.upcoming[stage.Service] = counts
+			counts = &radishbatch.ClassCounts{}
+			upcoming[stage.Service] = counts
 		}
-		counts.Add(sign*stage.Pieces, j.dueTimes[i])
+		counts.Add(sign*stage.Pieces, j.dueTimes[i], j.class)
 	}
 }
 
--- a/internal/radishstage/burst_test.go
+++ b/internal/radishstage/burst_test.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishroute"
 )
@@ -75,6 +76,21 @@
 //
 // The race detector multiplies the processor time, so that the bound holds only without it.
 func TestReplayBurstLeavesCoordinatorResponsive(t *testing.T) {
+	testBurstLeavesCoordinatorResponsive(t, newLargePlan)
+}
+
+// TestReplayBurstWithPrioritiesLeavesCoordinatorResponsive replays the same plans with priorities, values and teams, which need more
+// decisions.
+func TestReplayBurstWithPrioritiesLeavesCoordinatorResponsive(t *testing.T) {
+	testBurstLeavesCoordinatorResponsive(t, func(n int) *Plan {
+		p := newLargePlan(n)
+		p.Urgency = &radishadmission.Urgency{Priority: n % 3, Team: fmt.Sprint("team-", n%7), Value: float64(500 + n%5*300)}
+		return p
+	})
+}
+
+func testBurstLeavesCoordinatorResponsive(t *testing.T, newPlan func(n int) *Plan) {
+	t.Helper()
 	// On more processors, the collector's idle workers would count as well.
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	const (
@@ -87,7 +103,7 @@
 		began := processorTime(t)
 		for n := range plansPerSecond * seconds {
 			time.Sleep(time.Second / plansPerSecond)
-			p := newLargePlan(n)
+			p := newPlan(n)
 			go func() {
 				result, err := c.Run(context.Background(), p)
 				if err != nil {
@@ -99,7 +115,7 @@
 					c.Free(handles)
 				}
 			}()
-			queued = max(queued, queuedPieces(c))
+			queued = max(queued, waitingPieces(c))
 		}
 		cores := (processorTime(t) - began).Seconds() / seconds
 		t.Logf("%.2f of a core, at most %d pieces queued", cores, queued)
@@ -113,13 +129,19 @@
 	})
 }
 
-func queuedPieces(c *Coordinator) int {
+// waitingPieces returns the number of pieces that are queued or will be when their jobs are no longer held.
+func waitingPieces(c *Coordinator) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	total := 0
 	for _, q := range c.queues {
 		total += q.Len()
 	}
+	for j := range c.heldJobs {
+		for _, s := range j.plan.Stages {
+			total += s.Pieces
+		}
+	}
 	return total
 }
 
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -45,8 +45,13 @@
 	jobs    map[*job]bool
 	owners  map[*radishbatch.Item]*job
 	queues  map[string]*radishbatch.Queue
-	// upcoming counts, by service, the pieces of admitted plans that are not queued yet.
-	upcoming map[string]*radishbatch.DueCounts
+	// upcoming counts, by service, the pieces of admitted plans that are not queued yet, apart from those of held jobs.
+	upcoming map[string]*radishbatch.ClassCounts
+	// heldJobs are the jobs that are not queued yet although their inputs are complete; held counts their pieces by service.
+	heldJobs map[*job]bool
+	held     map[string]*radishbatch.ClassCounts
+	// shortAt is when a plan last found too little capacity, by service.
+	shortAt map[string]time.Time
 	// usable caches the usable targets by service.
 	usable map[string]usableTargets
 	// targets is by address.
@@ -94,15 +99,24 @@
 		return nil, ErrMoved
 	}
 	now := time.Now()
-	expected, err := c.expectedTime(p, now)
+	class := c.classOf(p)
+	expected, needsRoom, err := c.expectedTime(p, class, now)
 	if err != nil {
 		return nil, err
 	}
+	if needsRoom {
+		c.makeRoom(p, class, now)
+	}
 	j := newJob(p, c.typicalTime)
-	j.admittedAt, j.expected = now, expected
+	j.admittedAt, j.expected, j.class, j.density = now, expected, class, c.density(p)
+	j.typicalDuration = c.typicalDuration(j)
 	c.jobs[j] = true
 	c.countUpcoming(j, 1)
-	c.advance(j)
+	if mayBeHeld(class) && !j.isComplete() {
+		c.hold(j)
+	} else {
+		c.advance(j)
+	}
 	c.dispatch(now)
 	return j, nil
 }
@@ -114,7 +128,10 @@
 	c.jobs = make(map[*job]bool)
 	c.owners = make(map[*radishbatch.Item]*job)
 	c.queues = make(map[string]*radishbatch.Queue)
-	c.upcoming = make(map[string]*radishbatch.DueCounts)
+	c.upcoming = make(map[string]*radishbatch.ClassCounts)
+	c.heldJobs = make(map[*job]bool)
+	c.held = make(map[string]*radishbatch.ClassCounts)
+	c.shortAt = make(map[string]time.Time)
 	c.usable = make(map[string]usableTargets)
 	c.targets = make(map[string]*targetState)
 	c.retention = make(map[string]time.Duration)
@@ -153,6 +170,7 @@
 	}
 	j.ended, j.err = true, err
 	delete(c.jobs, j)
+	c.unhold(j)
 	c.countUpcoming(j, -1)
 	for item := range j.items {
 		delete(c.owners, item)
@@ -174,9 +192,12 @@
 }
 
 func outcomeOf(err error) string {
+	var refused *RefusedError
 	switch {
 	case err == nil:
 		return "made"
+	case errors.As(err, &refused):
+		return "gave_way"
 	case errors.Is(err, ErrFailed):
 		return "failed"
 	case errors.Is(err, ErrMoved):
@@ -237,7 +258,8 @@
 
 func (c *Coordinator) dispatchRound(now time.Time) {
 	c.dispatchedAt = now
-	waiting := 0
+	c.queueHeld(now)
+	waiting := len(c.heldJobs)
 	for service, q := range c.queues {
 		if q.Len() == 0 {
 			continue
--- a/internal/radishstage/dispatch.go
+++ b/internal/radishstage/dispatch.go
@@ -19,6 +19,7 @@
 	idle := c.idleTargets(usable, batch, now)
 	d := &serviceDispatch{
 		service: service, queue: q, batch: batch, usableTargets: len(usable), usableDataCentres: dataCentresOf(usable), now: now,
+		ordersByClass: q.HasSeveralClasses() && c.isShort(service, q, batch, now),
 	}
 	idle = c.startBatches(d, idle, dataCentresOf(idle))
 	c.startBatches(d, idle, nil)
@@ -32,6 +33,19 @@
 	usableTargets     int
 	usableDataCentres map[string]bool
 	now               time.Time
+	// ordersByClass is whether the order of classes precedes that of due times.
+	ordersByClass bool
+}
+
+// isShort reports whether the service has too little capacity for all queued pieces to be in time.
+func (c *Coordinator) isShort(service string, q *radishbatch.Queue, batch *radishroute.BatchSettings, now time.Time) bool {
+	if c.wasShort(service, now) {
+		return true
+	}
+	backlog := radishbatch.Backlog{TypicalBatchTime: typicalCallTime(batch)}
+	q.AddToDemand(&backlog.Demand, now)
+	c.addCapacity(&backlog, service, q.MeanResultBytes(), batch, now)
+	return backlog.IsShort()
 }
 
 // startBatches starts a call at each idle target for which the queue has pieces, and returns the targets that are still idle.
@@ -43,7 +57,7 @@
 			MaxPieces: d.batch.MaxPieces, MaxResultBytes: c.stateOf(t).space.FreeBytes(d.batch.ResultMemoryBytes, d.now),
 			Overhead: d.batch.CallTime, PieceTime: d.batch.PieceTime,
 			IdleTargets: len(stillIdle) + len(idle) - n, UsableTargets: d.usableTargets,
-			UsableDataCentres: d.usableDataCentres, ReservedDataCentres: reserved,
+			UsableDataCentres: d.usableDataCentres, ReservedDataCentres: reserved, OrdersByClass: d.ordersByClass,
 		}
 		items := d.queue.TakeBatch(spec, d.now)
 		if len(items) == 0 {
--- /dev/null
+++ b/internal/radishstage/hold.go
@@ -0,0 +1,154 @@
+package radishstage
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"radishramp.example/radishramp/pkg/radishbatch"
+)
+
+// Jobs of all but the most urgent class are held: their first pieces are queued only shortly before the targets of all their stages can
+// take them. They end no later for it, but until then they can give way, and no result of theirs takes up space or expires.
+
+// mayBeHeld reports whether jobs of the class are held while the targets have enough other work.
+func mayBeHeld(class int) bool { return class > radishbatch.FirstClass+1 }
+
+// hold keeps the job from being queued until its stages have capacity.
+func (c *Coordinator) hold(j *job) {
+	c.countUpcoming(j, -1)
+	j.isHeld = true
+	c.countUpcoming(j, 1)
+	c.heldJobs[j] = true
+}
+
+// unhold ends the hold, if there is one.
+func (c *Coordinator) unhold(j *job) {
+	if !j.isHeld {
+		return
+	}
+	c.countUpcoming(j, -1)
+	j.isHeld = false
+	c.countUpcoming(j, 1)
+	delete(c.heldJobs, j)
+}
+
+// queueHeld queues the held jobs whose stages have capacity, those of lower classes first, and then those that are due first. Jobs that
+// would be late are refused if capacity is short, and come last otherwise.
+func (c *Coordinator) queueHeld(now time.Time) {
+	if len(c.heldJobs) == 0 {
+		return
+	}
+	jobs := make([]*job, 0, len(c.heldJobs))
+	for j := range c.heldJobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		if lateA := a.isLate(now); lateA != b.isLate(now) {
+			if lateA {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.class, b.class), a.plan.Due.Compare(b.plan.Due),
+			cmp.Compare(a.plan.CallID, b.plan.CallID))
+	})
+	loads := make(map[string]*serviceLoad)
+	for _, j := range jobs {
+		if j.isLate(now) && c.isShortFor(j, loads, now) {
+			c.endJob(j, &RefusedError{RetryAfter: minRetryAfter, Reason: "more urgent plans took the capacity"})
+			continue
+		}
+		if c.hasCapacityNow(j, loads, now) {
+			j.addTo(loads, now)
+			c.unhold(j)
+			c.advance(j)
+		}
+	}
+}
+
+// isLate reports whether a job that has not begun can no longer be in time.
+func (j *job) isLate(now time.Time) bool { return now.Add(j.typicalDuration).After(j.plan.Due) }
+
+// isShortFor reports whether a service of the job has too little capacity.
+func (c *Coordinator) isShortFor(j *job, loads map[string]*serviceLoad, now time.Time) bool {
+	for _, s := range j.plan.Stages {
+		if s.Pieces > 0 && c.loadOf(s, loads, now).isShort {
+			return true
+		}
+	}
+	return false
+}
+
+// serviceLoad is the load of a stage service without the held jobs.
+type serviceLoad struct {
+	radishbatch.Backlog
+	// isShort is whether the capacity is too small for this load and the held jobs together.
+	isShort bool
+}
+
+// pieces returns the number of pieces that run before those that are due after the given time.
+func (l *serviceLoad) pieces(due time.Duration) int {
+	if l.isShort {
+		return l.Demand.Total()
+	}
+	return l.Demand.DueBy(due)
+}
+
+// loadOf returns the load of the stage's service; loads caches it.
+func (c *Coordinator) loadOf(s Stage, loads map[string]*serviceLoad, now time.Time) *serviceLoad {
+	if l := loads[s.Service]; l != nil {
+		return l
+	}
+	l := &serviceLoad{}
+	loads[s.Service] = l
+	batch := c.Batch(s.Service)
+	if batch == nil {
+		return l
+	}
+	l.TypicalBatchTime = typicalCallTime(batch)
+	c.addCapacity(&l.Backlog, s.Service, s.ResultBytes, batch, now)
+	if q := c.queues[s.Service]; q != nil {
+		q.AddToDemand(&l.Demand, now)
+	}
+	if upcoming := c.upcoming[s.Service]; upcoming != nil {
+		upcoming.AddTo(&l.Demand, radishbatch.LastClass, now)
+	}
+	all := l.Backlog
+	if held := c.held[s.Service]; held != nil {
+		held.AddTo(&all.Demand, radishbatch.LastClass, now)
+	}
+	l.isShort = all.IsShort() || c.wasShort(s.Service, now)
+	return l
+}
+
+// addTo adds the job's pieces to the loads.
+func (j *job) addTo(loads map[string]*serviceLoad, now time.Time) {
+	for i, s := range j.plan.Stages {
+		if l := loads[s.Service]; l != nil {
+			l.Demand.Add(s.Pieces, j.dueTimes[i].Sub(now))
+		}
+	}
+}
+
+// hasCapacityNow reports whether the targets of each stage of the job will have done most of the work that precedes it when the job gets
+// there. One more batch is left to them, so that they never wait for work.
+func (c *Coordinator) hasCapacityNow(j *job, loads map[string]*serviceLoad, now time.Time) bool {
+	ends := make([]time.Duration, len(j.plan.Stages))
+	for i, s := range j.plan.Stages {
+		begin := time.Duration(0)
+		for _, dep := range s.After {
+			begin = max(begin, ends[dep])
+		}
+		ends[i] = begin
+		if s.Pieces == 0 {
+			continue
+		}
+		l := c.loadOf(s, loads, now)
+		ends[i] += l.TypicalBatchTime
+		if float64(l.pieces(j.dueTimes[i].Sub(now))) > l.PiecesPerSecond*ends[i].Seconds() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -20,7 +20,16 @@
 	// admittedAt is when the plan was admitted, expected the time that it was estimated to take then.
 	admittedAt time.Time
 	expected   time.Duration
-	recomputes int
+	// class is the class of the job's pieces, density the value of the plan for each second of a target's time.
+	class   int
+	density float64
+	// begun is whether a piece of the job has been part of a call.
+	begun bool
+	// isHeld is whether the job waits for capacity before its first pieces are queued.
+	isHeld bool
+	// typicalDuration is the typical time of all stages if nothing else is queued.
+	typicalDuration time.Duration
+	recomputes      int
 	// retainsInputs is set once a target had no space for the result of a piece. From then on the inputs of a stage are
 	// released only when the stage is complete.
 	retainsInputs bool
@@ -98,7 +107,7 @@
 		}
 		item := &radishbatch.Item{
 			Piece: piece, Due: j.dueTimes[i], Deadline: j.plan.Deadline, InputsExpireAt: expires, ResultBytes: stage.ResultBytes,
-			PreferredDataCentre: j.dataCentre, IsDataHeavy: j.isDataHeavy(i), Worth: j.plan.Worth, QueuedAt: now,
+			PreferredDataCentre: j.dataCentre, IsDataHeavy: j.isDataHeavy(i), Worth: j.plan.Worth, Class: j.class, QueuedAt: now,
 		}
 		items = append(items, item)
 		j.items[item] = true
--- a/internal/radishstage/plan.go
+++ b/internal/radishstage/plan.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishbatch"
 )
 
@@ -23,6 +24,8 @@
 	Near string
 	// Worth orders late requests: pieces of those with the highest worth go first.
 	Worth float64
+	// Urgency decides which plans run, wait or are refused if there is too little capacity; nil if due times alone do.
+	Urgency *radishadmission.Urgency
 }
 
 // Stage is one stage of a plan.
--- a/internal/radishstage/recompute.go
+++ b/internal/radishstage/recompute.go
@@ -35,6 +35,17 @@
 	c.advance(j)
 }
 
+// typicalDuration returns the typical time to execute all stages of the job if nothing else is queued.
+func (c *Coordinator) typicalDuration(j *job) time.Duration {
+	longest := time.Duration(0)
+	for i, s := range j.plan.Stages {
+		if s.Pieces > 0 {
+			longest = max(longest, c.typicalTimeThrough(j, i))
+		}
+	}
+	return longest
+}
+
 // typicalTimeThrough returns the typical time to execute all stages that the stage depends on and then the stage itself.
 func (c *Coordinator) typicalTimeThrough(j *job, stage int) time.Duration {
 	// Stages depend on earlier ones only, so that one pass is enough.
--- a/internal/radishstage/router.go
+++ b/internal/radishstage/router.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
 )
 
@@ -203,6 +204,10 @@
 	body := &radishpeerpb.PlanRequest{
 		CallId: p.CallID, Key: p.Key, DueMs: remainingMs(p.Due, now), LeftMs: remainingMs(p.Deadline, now), Near: p.Near, Worth: float32(p.Worth),
 	}
+	if u := p.Urgency; u != nil {
+		priority := uint32(u.Priority)
+		body.Priority, body.Team, body.Value = &priority, u.Team, float32(u.Value)
+	}
 	for _, s := range p.Stages {
 		stage := &radishpeerpb.PlanStage{Service: s.Service, Pieces: uint32(s.Pieces), ResultBytes: uint64(s.ResultBytes)}
 		for _, dep := range s.After {
@@ -222,6 +227,13 @@
 		CallID: body.GetCallId(), Key: body.GetKey(), Due: now.Add(time.Duration(body.GetDueMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(body.GetLeftMs()) * time.Millisecond), Near: body.GetNear(), Worth: float64(body.GetWorth()),
 	}
+	if body.Priority != nil {
+		// VMs of earlier releases send no priority.
+		u := radishadmission.Urgency{
+			Priority: int(min(body.GetPriority(), radishadmission.MaxPriority)), Team: body.GetTeam(), Value: float64(body.GetValue()),
+		}.Validated()
+		p.Urgency = &u
+	}
 	for _, s := range body.GetStages() {
 		stage := Stage{Service: s.GetService(), Pieces: int(s.GetPieces()), ResultBytes: int64(s.GetResultBytes())}
 		for _, dep := range s.GetAfter() {
--- a/internal/radishstage/router_test.go
+++ b/internal/radishstage/router_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
 )
 
@@ -169,3 +172,24 @@
 		}
 	})
 }
+
+// TestPlanCarriesUrgency checks that the coordinator gets the priority, team and value of a plan, that the plan of a VM of an earlier
+// release has none, and that implausible figures of a peer are replaced.
+func TestPlanCarriesUrgency(t *testing.T) {
+	now := time.Now()
+	p := newPlan("call", 2*time.Second)
+	if got := decodePlan(encodePlan(p, now), now).Urgency; got != nil {
+		t.Errorf("got %+v for a plan without priority, want none", got)
+	}
+	p.Urgency = &radishadmission.Urgency{Priority: 2, Team: "roads", Value: 1500}
+	if got := decodePlan(encodePlan(p, now), now).Urgency; got == nil || *got != *p.Urgency {
+		t.Errorf("got %+v, want %+v", got, p.Urgency)
+	}
+	body := encodePlan(p, now)
+	lowest := uint32(math.MaxUint32)
+	body.Priority, body.Value, body.Team = &lowest, float32(math.NaN()), strings.Repeat("x", 1000)
+	got := decodePlan(body, now).Urgency
+	if got.Priority != radishadmission.MaxPriority || got.Value != 0 || len(got.Team) > 200 {
+		t.Errorf("got %+v for implausible figures", got)
+	}
+}
--- a/internal/radishstage/stage_call.go
+++ b/internal/radishstage/stage_call.go
@@ -37,8 +37,11 @@
 	tracked := c.stateOf(t).space.TrackedBytes(now)
 	pieces := make([]radish.Piece, len(items))
 	for i, item := range items {
-		if j := c.owners[item]; j != nil && item.IsDataHeavy {
-			j.pinDataCentre(t.DataCentre)
+		if j := c.owners[item]; j != nil {
+			c.begin(j)
+			if item.IsDataHeavy {
+				j.pinDataCentre(t.DataCentre)
+			}
 		}
 		item.Attempts++
 		item.AvoidTarget, item.AvoidUntil = t.Name, now.Add(expected+avoidDuration)
--- a/pkg/radishbatch/backlog.go
+++ b/pkg/radishbatch/backlog.go
@@ -1,6 +1,9 @@
 package radishbatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Backlog is the work that is queued or expected for the targets of one stage service.
 type Backlog struct {
@@ -87,6 +90,37 @@
 	return false
 }
 
+// IsShort reports whether the capacity is too small for all pieces to be in time that could be if they ran alone.
+func (b *Backlog) IsShort() bool {
+	ahead := 0
+	for i, queued := range b.Demand.pieces[:demandBuckets-1] {
+		ahead += queued
+		end := time.Duration(i+1) * bucketWidth
+		if queued > 0 && b.TypicalBatchTime <= end && b.processingTime(ahead)+b.TypicalBatchTime > end {
+			return true
+		}
+	}
+	return false
+}
+
+// Excess returns how many pieces too many there are for all to be in time once the given pieces with the due time are added, but no more
+// than the added ones, and the time from now by which the pieces are due of which some must give way.
+func (b *Backlog) Excess(pieces int, due time.Duration) (excess int, dueBy time.Duration) {
+	ahead := pieces
+	for i, queued := range b.Demand.pieces[:demandBuckets-1] {
+		ahead += queued
+		if i < bucketOf(due) || (queued == 0 && i != bucketOf(due)) {
+			continue
+		}
+		end := time.Duration(i+1) * bucketWidth
+		inTime := b.PiecesPerSecond * max(0, end-b.TypicalBatchTime).Seconds()
+		if tooMany := int(math.Ceil(float64(ahead) - inTime)); tooMany > excess {
+			excess, dueBy = tooMany, end
+		}
+	}
+	return min(pieces, excess), dueBy
+}
+
 // DueLast returns a copy of the stages with due times so late that all other work runs first.
 func DueLast(stages []StageWork) []StageWork {
 	last := make([]StageWork, len(stages))
--- a/pkg/radishbatch/demand.go
+++ b/pkg/radishbatch/demand.go
@@ -40,6 +40,9 @@
 	return total
 }
 
+// Total returns the number of pieces.
+func (d *Demand) Total() int { return d.DueBy(demandBuckets * bucketWidth) }
+
 // dueCountWidth is the resolution of [DueCounts].
 const dueCountWidth = 20 * time.Millisecond
 
--- a/pkg/radishbatch/queue.go
+++ b/pkg/radishbatch/queue.go
@@ -39,6 +39,8 @@
 	IsDataHeavy bool
 	// Worth is the value of the call relative to others. Late pieces of calls without results run highest value first.
 	Worth float64
+	// Class orders pieces where there is too little capacity for all: those of lower classes run first.
+	Class int
 	// QueuedAt is the time at which the piece was first queued.
 	QueuedAt time.Time
 	// Attempts is the number of batches that attempted the piece.
@@ -57,7 +59,9 @@
 	// items is sorted by due time and then by call, so that a batch is taken without sorting the queue: a burst queues
 	// thousands of pieces, and hundreds of batches a second start.
 	items  []*Item
-	counts DueCounts
+	counts ClassCounts
+	// resultBytes is the total size of the results of the queued pieces.
+	resultBytes int64
 }
 
 // Add queues pieces. The due time of a piece must not change while it is queued.
@@ -69,7 +73,8 @@
 			return cmp.Or(compareDue(queued, added), -1)
 		})
 		q.items = slices.Insert(q.items, at, item)
-		q.counts.Add(1, item.Due)
+		q.counts.Add(1, item.Due, item.Class)
+		q.resultBytes += item.ResultBytes
 	}
 }
 
@@ -82,7 +87,27 @@
 func (q *Queue) Len() int { return len(q.items) }
 
 // AddToDemand adds the queued pieces to the demand.
-func (q *Queue) AddToDemand(d *Demand, now time.Time) { q.counts.AddTo(d, now) }
+func (q *Queue) AddToDemand(d *Demand, now time.Time) { q.counts.AddTo(d, LastClass, now) }
+
+// AddClassesToDemand adds the queued pieces of the classes up to the given one to the demand.
+func (q *Queue) AddClassesToDemand(d *Demand, through int, now time.Time) {
+	q.counts.AddTo(d, through, now)
+}
+
+// MeanResultBytes returns the mean size of the results of the queued pieces.
+func (q *Queue) MeanResultBytes() int64 { return q.resultBytes / int64(max(1, len(q.items))) }
+
+// HasSeveralClasses reports whether the order of the queue depends on classes if there is too little capacity.
+func (q *Queue) HasSeveralClasses() bool { return q.counts.HasSeveral() }
+
+// SetClass changes the class of a piece, queued or not.
+func (q *Queue) SetClass(item *Item, class int) {
+	if item.isQueued {
+		q.counts.Add(-1, item.Due, item.Class)
+		q.counts.Add(1, item.Due, class)
+	}
+	item.Class = class
+}
 
 // Remove removes and returns the pieces that match.
 func (q *Queue) Remove(match func(*Item) bool) []*Item {
@@ -96,7 +121,8 @@
 	})
 	for _, i := range removed {
 		i.isQueued = false
-		q.counts.Add(-1, i.Due)
+		q.counts.Add(-1, i.Due, i.Class)
+		q.resultBytes -= i.ResultBytes
 	}
 	return removed
 }
@@ -136,6 +162,8 @@
 	// ReservedDataCentres is the set of data centres whose idle targets the data-heavy pieces that prefer them are left to, also
 	// if these pieces are due soon.
 	ReservedDataCentres map[string]bool
+	// OrdersByClass is whether pieces that can be in time run in the order of their classes before that of their due times.
+	OrdersByClass bool
 }
 
 // TakeBatch removes and returns the pieces of the next batch.
@@ -193,8 +221,10 @@
 			}
 		}
 		inTime = append(inTime, q.items[firstInTime:]...)
-		if !spec.yieldByEffectiveDue(inTime, yield) {
-			return
+		for _, turn := range spec.turns(inTime) {
+			if !spec.yieldByEffectiveDue(turn, yield) {
+				return
+			}
 		}
 		slices.SortStableFunc(lateStarted, func(a, b *Item) int { return cmp.Or(a.InputsExpireAt.Compare(b.InputsExpireAt), compareDue(a, b)) })
 		slices.SortStableFunc(lateNotStarted, func(a, b *Item) int { return cmp.Or(cmp.Compare(b.Worth, a.Worth), compareDue(a, b)) })
@@ -206,6 +236,18 @@
 	}
 }
 
+// turns divides the pieces into those that run one after the other because of their classes, each in the given order.
+func (s *BatchSpec) turns(items []*Item) [][]*Item {
+	if !s.OrdersByClass {
+		return [][]*Item{items}
+	}
+	turns := make([][]*Item, Classes)
+	for _, i := range items {
+		turns[turnOf(i.Class)] = append(turns[turnOf(i.Class)], i)
+	}
+	return turns
+}
+
 // yieldByEffectiveDue yields the pieces, which are sorted by due time, by their effective due time: it merges those that
 // prefer the target's data centre with the others. It returns false if yield did.
 func (s *BatchSpec) yieldByEffectiveDue(items []*Item, yield func(*Item) bool) bool {
--- a/pkg/radishroute/config.go
+++ b/pkg/radishroute/config.go
@@ -31,6 +31,8 @@
 	Limits      Limits
 
 	byHost map[string][]*Route
+	// stagePriorities holds, by stage service, the priorities of the calls that may use it.
+	stagePriorities map[string]map[int]bool
 }
 
 // Limits bounds requests and connections of callers.
@@ -149,12 +151,43 @@
 	return best
 }
 
-// BuildIndex builds the lookup table for Match. It must be called once after the routes are set.
+// BuildIndex builds the lookup tables for Match and HasCompetingStages. It must be called once after the routes, services and teams
+// are set.
 func (c *Config) BuildIndex() {
 	c.byHost = make(map[string][]*Route)
 	for _, r := range c.Routes {
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 	}
+	c.stagePriorities = make(map[string]map[int]bool)
+	for _, r := range c.Routes {
+		for _, s := range r.Stages {
+			c.addStagePriorities(s.Service, r)
+		}
+	}
+}
+
+func (c *Config) addStagePriorities(service string, r *Route) {
+	priorities := c.stagePriorities[service]
+	if priorities == nil {
+		priorities = make(map[int]bool)
+		c.stagePriorities[service] = priorities
+	}
+	if !c.RequiresKey || r.AllowsAnonymous {
+		priorities[r.Priority] = true
+	}
+	for _, t := range c.Teams {
+		priorities[r.PriorityOf(t)] = true
+	}
+}
+
+// HasCompetingStages reports whether calls of different priority use a stage service of the route.
+func (c *Config) HasCompetingStages(r *Route) bool {
+	for _, s := range r.Stages {
+		if len(c.stagePriorities[s.Service]) > 1 {
+			return true
+		}
+	}
+	return false
 }
 
 // PickService returns the service for a random draw from [0, 1).
