Keep capacity for expected urgent plans, and a floor for each priority

Less urgent plans were admitted into the gaps between urgent ones: most of them then gave way after they had waited. Urgent load above the capacity left nothing to the others.

Moving averages of the pieces that plans ask for, by service and class, tell how much of the capacity is left to a class; its waiting work must be done in time with that. Held plans are considered every 20 ms while there are more than 50 of them, since the decisions about them took most of the time. The lowest priority had a class that does not exist, so that a peer's plan of priority 10 or lower ended the process (TestClassesFollowPriorityAndStanding failed before).

--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishbatch"
 	"radishramp.example/radishramp/pkg/radishroute"
 )
@@ -22,29 +23,35 @@
 	plannedThroughput = 0.85
 )
 
-// expectedTime returns the estimated time of the plan behind the work that was admitted before, or the error with which the
-// plan is refused. A plan that cannot finish in time is admitted only while queues are short, so that it does not make
-// others late. The result needsRoom is whether the plan can be in time only if work of lower classes gives way.
-func (c *Coordinator) expectedTime(p *Plan, class int, now time.Time) (expected time.Duration, needsRoom bool, err error) {
-	backlogs, needs := c.serviceBacklogs(p, radishbatch.LastClass, now), p.stageNeeds(p.dueTimes(c.typicalTime), now)
-	expected, ok := radishbatch.EstimateDuration(backlogs, needs)
+// admission is the decision to admit a plan.
+type admission struct {
+	// class is the class of the plan's pieces.
+	class int
+	// expected is the estimated time of the plan.
+	expected time.Duration
+	// needsRoom is whether the plan can be in time only if work of later classes gives way.
+	needsRoom bool
+}
+
+// decide returns the decision to admit the plan, with the estimated time behind the work that was admitted before, or the error with which
+// the plan is refused. A plan that cannot finish in time is admitted only while queues are short, so that it does not make others late.
+func (c *Coordinator) decide(p *Plan, kinds []radishadmission.Kind, now time.Time) (admission, error) {
+	class := c.classOf(p)
+	needs := p.stageNeeds(p.dueTimes(c.typicalTime), now)
+	behindAll := c.serviceBacklogs(p, radishbatch.FirstClass, radishbatch.LastClass, now)
+	expected, ok := radishbatch.EstimateDuration(behindAll, needs)
+	expected = max(expected, c.besideArrivals(p, class, radishbatch.LastClass, needs, now))
 	if !ok {
-		return 0, false, c.refuse(p, &RefusedError{RetryAfter: c.untilResumed(p, now), Reason: "a stage has no target"}, 0)
+		return admission{}, c.refuse(p, &RefusedError{RetryAfter: c.untilResumed(p, now), Reason: "a stage has no target"}, 0)
 	}
-	delaysOthers := radishbatch.DelaysOthers(backlogs, needs)
-	unloaded, _ := radishbatch.EstimateDuration(radishbatch.Unloaded(backlogs), needs)
-	isInTime := p.isInTime(expected, now)
+	delaysOthers := radishbatch.DelaysOthers(behindAll, needs)
+	unloaded, _ := radishbatch.EstimateDuration(radishbatch.Unloaded(behindAll), needs)
 	isQueueShort := expected-unloaded <= lateAdmissionMaxWait && expected < p.Deadline.Sub(now)
-	if !delaysOthers && (isInTime || isQueueShort) {
-		return expected, false, nil
-	}
-	if p.Urgency != nil {
-		backlogs = c.serviceBacklogs(p, class, now)
-		expected, _ = radishbatch.EstimateDuration(backlogs, needs)
-		delaysOthers = radishbatch.DelaysOthers(backlogs, needs)
-		if !delaysOthers && p.isInTime(expected, now) {
-			return expected, true, nil
-		}
+	if !delaysOthers && (p.isInTime(expected, now) || isQueueShort) {
+		return admission{class: class, expected: expected}, nil
+	}
+	if a, ok := c.decideByClass(p, class, kinds, needs, now); ok {
+		return a, nil
 	}
 	c.recordShortage(p, now)
 	reason := fmt.Sprintf("stages need %v, %v are left to be in time", expected.Round(time.Millisecond),
@@ -52,8 +59,50 @@
 	if delaysOthers {
 		reason += ", others would be late"
 	}
-	behindAll, _ := radishbatch.EstimateDuration(backlogs, radishbatch.DueLast(needs))
-	return 0, false, c.refuse(p, &RefusedError{RetryAfter: max(minRetryAfter, behindAll-unloaded), Reason: reason}, expected)
+	last, _ := radishbatch.EstimateDuration(behindAll, radishbatch.DueLast(needs))
+	return admission{}, c.refuse(p, &RefusedError{RetryAfter: max(minRetryAfter, last-unloaded), Reason: reason}, expected)
+}
+
+// decideByClass decides about a plan that is in time only if work of later classes gives way. Plans of a priority that got less than its
+// floor are in the most urgent class.
+func (c *Coordinator) decideByClass(
+	p *Plan, class int, kinds []radishadmission.Kind, needs []radishbatch.StageWork, now time.Time,
+) (a admission, ok bool) {
+	if p.Urgency == nil {
+		return admission{}, false
+	}
+	if expected, ok := c.fitsBefore(p, class, needs, now); ok {
+		return admission{class: class, expected: expected, needsRoom: true}, true
+	}
+	if !mayBeHeld(class) || !c.isBelowFloor(p, kinds[0], now) {
+		return admission{}, false
+	}
+	class = radishbatch.FirstClass + 1
+	expected, ok := c.fitsBefore(p, class, needs, now)
+	return admission{class: class, expected: expected, needsRoom: true}, ok
+}
+
+// fitsBefore reports whether the plan is in time, and makes no other late, if it waits only for work of the classes up to its own.
+func (c *Coordinator) fitsBefore(p *Plan, class int, needs []radishbatch.StageWork, now time.Time) (expected time.Duration, ok bool) {
+	backlogs := c.serviceBacklogs(p, radishbatch.FirstClass, class, now)
+	expected, _ = radishbatch.EstimateDuration(backlogs, needs)
+	expected = max(expected, c.besideArrivals(p, class, class, needs, now))
+	return expected, p.isInTime(expected, now) && !radishbatch.DelaysOthers(backlogs, needs)
+}
+
+// besideArrivals returns the estimated time of the plan if the plans of earlier classes take the capacity that they are expected to ask for,
+// and the waiting work of the plan's class up to the given one shares the rest.
+func (c *Coordinator) besideArrivals(p *Plan, class, through int, needs []radishbatch.StageWork, now time.Time) time.Duration {
+	if !mayBeHeld(class) {
+		return 0
+	}
+	backlogs := c.serviceBacklogs(p, class, through, now)
+	for service, b := range backlogs {
+		b.PiecesPerSecond *= c.arrivals.LeftShare(service, class, b.PiecesPerSecond/plannedThroughput, now)
+		backlogs[service] = b
+	}
+	expected, _ := radishbatch.EstimateDuration(backlogs, needs)
+	return expected
 }
 
 // isInTime reports whether the plan is in time if it takes the expected time.
@@ -91,8 +140,8 @@
 	return err
 }
 
-// serviceBacklogs returns the demand of the classes up to the given one on, and the capacity of, each service that the plan uses.
-func (c *Coordinator) serviceBacklogs(p *Plan, through int, now time.Time) map[string]radishbatch.Backlog {
+// serviceBacklogs returns, for each service that the plan uses, the demand of the given classes and the capacity.
+func (c *Coordinator) serviceBacklogs(p *Plan, from, through int, now time.Time) map[string]radishbatch.Backlog {
 	backlogs := make(map[string]radishbatch.Backlog)
 	for _, s := range p.Stages {
 		if _, ok := backlogs[s.Service]; ok || s.Pieces == 0 {
@@ -104,13 +153,13 @@
 		}
 		backlog := radishbatch.Backlog{TypicalBatchTime: typicalCallTime(batch)}
 		if upcoming := c.upcoming[s.Service]; upcoming != nil {
-			upcoming.AddTo(&backlog.Demand, through, now)
+			upcoming.AddTo(&backlog.Demand, from, through, now)
 		}
 		if held := c.held[s.Service]; held != nil {
-			held.AddTo(&backlog.Demand, through, now)
+			held.AddTo(&backlog.Demand, from, through, now)
 		}
 		if q := c.queues[s.Service]; q != nil {
-			q.AddClassesToDemand(&backlog.Demand, through, now)
+			q.AddClassesToDemand(&backlog.Demand, from, through, now)
 		}
 		c.addCapacity(&backlog, s.Service, s.ResultBytes, batch, now)
 		backlogs[s.Service] = backlog
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -12,6 +12,7 @@
 	"radishramp.example/radishramp/internal/radishlog"
 	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishbatch"
 	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishroute"
@@ -48,8 +49,11 @@
 	// upcoming counts, by service, the pieces of admitted plans that are not queued yet, apart from those of held jobs.
 	upcoming map[string]*radishbatch.ClassCounts
 	// heldJobs are the jobs that are not queued yet although their inputs are complete; held counts their pieces by service.
-	heldJobs map[*job]bool
-	held     map[string]*radishbatch.ClassCounts
+	heldJobs     map[*job]bool
+	heldQueuedAt time.Time
+	held         map[string]*radishbatch.ClassCounts
+	arrivals     radishadmission.Arrivals
+	floors       radishadmission.Floors
 	// shortAt is when a plan last found too little capacity, by service.
 	shortAt map[string]time.Time
 	// usable caches the usable targets by service.
@@ -99,20 +103,25 @@
 		return nil, ErrMoved
 	}
 	now := time.Now()
-	class := c.classOf(p)
-	expected, needsRoom, err := c.expectedTime(p, class, now)
+	kinds := c.kindsOf(p)
+	c.recordDemand(p, c.classOf(p), kinds, now)
+	a, err := c.decide(p, kinds, now)
 	if err != nil {
 		return nil, err
 	}
-	if needsRoom {
-		c.makeRoom(p, class, now)
+	if a.needsRoom {
+		c.makeRoom(p, a.class, now)
 	}
 	j := newJob(p, c.typicalTime)
-	j.admittedAt, j.expected, j.class, j.density = now, expected, class, c.density(p)
+	j.admittedAt, j.expected, j.class, j.kinds, j.density = now, a.expected, a.class, kinds, c.density(p)
+	if a.class != c.classOf(p) {
+		// The plan is admitted for the floor of its priority.
+		c.recordUse(j, now)
+	}
 	j.typicalDuration = c.typicalDuration(j)
 	c.jobs[j] = true
 	c.countUpcoming(j, 1)
-	if mayBeHeld(class) && !j.isComplete() {
+	if mayBeHeld(a.class) && !j.isComplete() {
 		c.hold(j)
 	} else {
 		c.advance(j)
--- /dev/null
+++ b/internal/radishstage/floor.go
@@ -0,0 +1,99 @@
+package radishstage
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"radishramp.example/radishramp/pkg/radishadmission"
+	"radishramp.example/radishramp/pkg/radishbatch"
+)
+
+// Dimensions of the kinds of plans that keep a floor of the capacity.
+const (
+	dimensionPriority   = "priority"
+	dimensionTeam       = "team"
+	dimensionSize       = "size"
+	dimensionDataCentre = "data_centre"
+)
+
+// kindsOf returns the kinds that the plan belongs to, its priority first. Sizes are told apart by powers of four of the targets' time.
+func (c *Coordinator) kindsOf(p *Plan) []radishadmission.Kind {
+	if p.Urgency == nil {
+		return nil
+	}
+	size := int(math.Log2(max(1, float64(c.targetTime(p).Milliseconds()))) / 2)
+	kinds := []radishadmission.Kind{
+		{Dimension: dimensionPriority, Value: strconv.Itoa(p.Urgency.Priority)}, {Dimension: dimensionSize, Value: strconv.Itoa(size)},
+	}
+	if p.Urgency.Team != "" {
+		kinds = append(kinds, radishadmission.Kind{Dimension: dimensionTeam, Value: p.Urgency.Team})
+	}
+	if p.Near != "" {
+		kinds = append(kinds, radishadmission.Kind{Dimension: dimensionDataCentre, Value: p.Near})
+	}
+	return kinds
+}
+
+// recordDemand records that the plan asks for capacity.
+func (c *Coordinator) recordDemand(p *Plan, class int, kinds []radishadmission.Kind, now time.Time) {
+	if p.Urgency == nil {
+		return
+	}
+	for _, s := range p.Stages {
+		if s.Pieces > 0 {
+			c.arrivals.Record(s.Service, class, s.Pieces, now)
+		}
+	}
+	c.floors.Ask(kinds, now)
+}
+
+// recordUse records, once, that the job gets its part of the capacity.
+func (c *Coordinator) recordUse(j *job, now time.Time) {
+	if j.isUseRecorded {
+		return
+	}
+	j.isUseRecorded = true
+	for _, s := range j.plan.Stages {
+		if s.Pieces > 0 {
+			c.floors.Record(s.Service, j.kinds, s.Pieces, now)
+		}
+	}
+}
+
+// isBelowFloor reports whether plans of the kind got less than their floor at all services of the plan.
+func (c *Coordinator) isBelowFloor(p *Plan, k radishadmission.Kind, now time.Time) bool {
+	for _, s := range p.Stages {
+		batch := c.Batch(s.Service)
+		if s.Pieces == 0 || batch == nil {
+			continue
+		}
+		var backlog radishbatch.Backlog
+		c.addCapacity(&backlog, s.Service, s.ResultBytes, batch, now)
+		if !c.floors.IsBelow(s.Service, k, backlog.PiecesPerSecond, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// maxRaises is the number of held jobs of each class that are considered for the floor of their priority in one round of dispatch.
+const maxRaises = 4
+
+// raiseForFloor queues the first held jobs of priorities that got less than their floor, in the most urgent class. The jobs are sorted.
+func (c *Coordinator) raiseForFloor(jobs []*job, now time.Time) {
+	considered := make(map[int]int)
+	for _, j := range jobs {
+		class := j.class
+		if considered[class] == maxRaises || !mayBeHeld(class) || j.isLate(now) {
+			continue
+		}
+		considered[class]++
+		if c.isBelowFloor(j.plan, j.kinds[0], now) {
+			c.recordUse(j, now)
+			c.unhold(j)
+			c.setClass(j, radishbatch.FirstClass+1)
+			c.advance(j)
+		}
+	}
+}
--- a/internal/radishstage/hold.go
+++ b/internal/radishstage/hold.go
@@ -11,6 +11,13 @@
 // Jobs of all but the most urgent class are held: their first pieces are queued only shortly before the targets of all their stages can
 // take them. They end no later for it, but until then they can give way, and no result of theirs takes up space or expires.
 
+// While there are more held jobs than fewHeldJobs, they are considered only every heldInterval, which is short beside a batch, since a
+// burst holds hundreds and causes a round of dispatch every few milliseconds.
+const (
+	fewHeldJobs  = 50
+	heldInterval = 20 * time.Millisecond
+)
+
 // mayBeHeld reports whether jobs of the class are held while the targets have enough other work.
 func mayBeHeld(class int) bool { return class > radishbatch.FirstClass+1 }
 
@@ -36,9 +43,32 @@
 // queueHeld queues the held jobs whose stages have capacity, those of lower classes first, and then those that are due first. Jobs that
 // would be late are refused if capacity is short, and come last otherwise.
 func (c *Coordinator) queueHeld(now time.Time) {
-	if len(c.heldJobs) == 0 {
+	isSoon := now.Sub(c.heldQueuedAt) < heldInterval && len(c.heldJobs) > fewHeldJobs
+	if len(c.heldJobs) == 0 || isSoon {
 		return
 	}
+	c.heldQueuedAt = now
+	jobs := c.sortedHeldJobs(now)
+	c.raiseForFloor(jobs, now)
+	loads := make(map[string]*serviceLoad)
+	for _, j := range jobs {
+		if !j.isHeld {
+			continue
+		}
+		if j.isLate(now) && c.isShortFor(j, loads, now) {
+			c.endJob(j, &RefusedError{RetryAfter: minRetryAfter, Reason: "more urgent plans took the capacity"})
+			continue
+		}
+		if c.hasCapacityNow(j, loads, now) {
+			j.addTo(loads, now)
+			c.unhold(j)
+			c.advance(j)
+		}
+	}
+}
+
+// sortedHeldJobs returns the held jobs in the order in which they are queued.
+func (c *Coordinator) sortedHeldJobs(now time.Time) []*job {
 	jobs := make([]*job, 0, len(c.heldJobs))
 	for j := range c.heldJobs {
 		jobs = append(jobs, j)
@@ -53,18 +83,7 @@
 		return cmp.Or(cmp.Compare(a.class, b.class), a.plan.Due.Compare(b.plan.Due),
 			cmp.Compare(a.plan.CallID, b.plan.CallID))
 	})
-	loads := make(map[string]*serviceLoad)
-	for _, j := range jobs {
-		if j.isLate(now) && c.isShortFor(j, loads, now) {
-			c.endJob(j, &RefusedError{RetryAfter: minRetryAfter, Reason: "more urgent plans took the capacity"})
-			continue
-		}
-		if c.hasCapacityNow(j, loads, now) {
-			j.addTo(loads, now)
-			c.unhold(j)
-			c.advance(j)
-		}
-	}
+	return jobs
 }
 
 // isLate reports whether a job that has not begun can no longer be in time.
@@ -112,11 +131,11 @@
 		q.AddToDemand(&l.Demand, now)
 	}
 	if upcoming := c.upcoming[s.Service]; upcoming != nil {
-		upcoming.AddTo(&l.Demand, radishbatch.LastClass, now)
+		upcoming.AddTo(&l.Demand, radishbatch.FirstClass, radishbatch.LastClass, now)
 	}
 	all := l.Backlog
 	if held := c.held[s.Service]; held != nil {
-		held.AddTo(&all.Demand, radishbatch.LastClass, now)
+		held.AddTo(&all.Demand, radishbatch.FirstClass, radishbatch.LastClass, now)
 	}
 	l.isShort = all.IsShort() || c.wasShort(s.Service, now)
 	return l
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishbatch"
 )
 
@@ -23,6 +24,9 @@
 	// class is the class of the job's pieces, density the value of the plan for each second of a target's time.
 	class   int
 	density float64
+	// kinds are the groups of plans that the job belongs to, each of which keeps a floor of the capacity.
+	kinds         []radishadmission.Kind
+	isUseRecorded bool
 	// begun is whether a piece of the job has been part of a call.
 	begun bool
 	// isHeld is whether the job waits for capacity before its first pieces are queued.
--- a/internal/radishstage/priority.go
+++ b/internal/radishstage/priority.go
@@ -29,6 +29,7 @@
 // begin records that a piece of the job is part of a call. From then on the job gives way to no other, since its results would be lost.
 func (c *Coordinator) begin(j *job) {
 	j.begun = true
+	c.recordUse(j, time.Now())
 	c.setClass(j, radishbatch.FirstClass)
 }
 
@@ -81,7 +82,7 @@
 
 // excessOf returns, by service, the work that cannot be in time beside the plan.
 func (c *Coordinator) excessOf(p *Plan, now time.Time) map[string]*excess {
-	backlogs, needs := c.serviceBacklogs(p, radishbatch.LastClass, now), p.stageNeeds(p.dueTimes(c.typicalTime), now)
+	backlogs, needs := c.serviceBacklogs(p, radishbatch.FirstClass, radishbatch.LastClass, now), p.stageNeeds(p.dueTimes(c.typicalTime), now)
 	list := make(map[string]*excess)
 	for _, need := range needs {
 		if need.Pieces == 0 {
--- a/internal/radishstage/priority_test.go
+++ b/internal/radishstage/priority_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"radishramp.example/radishramp/pkg/radishadmission"
 )
 
 // TestReplayUrgentWorkAfterLessUrgent replays less urgent calls that fill the queues, and urgent ones that arrive after that. If admission
@@ -90,6 +92,12 @@
 func TestOrderIsUnchangedWhileCapacitySuffices(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c, _ := newCoordinator(1)
+		// Only the order of the queue is of interest here, not what the arrivals until then make admission expect.
+		time.AfterFunc(28*time.Millisecond, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.arrivals = radishadmission.Arrivals{}
+		})
 		tallies := replay(t, c, []callKind{
 			{name: "urgent", perSecond: 1000, until: 25 * time.Millisecond, due: 9 * time.Second, stages: chain(3), urgency: urgency(0)},
 			{
--- a/internal/radishstage/router_test.go
+++ b/internal/radishstage/router_test.go
@@ -192,4 +192,10 @@
 	if got.Priority != radishadmission.MaxPriority || got.Value != 0 || len(got.Team) > 200 {
 		t.Errorf("got %+v for implausible figures", got)
 	}
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newCoordinator(2)
+		if _, err := c.Run(t.Context(), decodePlan(body, time.Now())); err != nil {
+			t.Errorf("plan of the lowest priority: %v", err)
+		}
+	})
 }
--- a/pkg/radishadmission/urgency.go
+++ b/pkg/radishadmission/urgency.go
@@ -19,7 +19,7 @@
 }
 
 // MaxPriority is the lowest priority that is told apart; plans of lower ones are treated like it.
-const MaxPriority = (radishbatch.Classes - 2) / standings
+const MaxPriority = (radishbatch.LastClass-radishbatch.FirstClass)/standings - 1
 
 // standings is the number of classes for each priority: one for each [Standing].
 const standings = 2
--- a/pkg/radishbatch/class.go
+++ b/pkg/radishbatch/class.go
@@ -24,9 +24,9 @@
 	c.pieces[class] += pieces
 }
 
-// AddTo adds the counted pieces of the classes up to the given one to the demand.
-func (c *ClassCounts) AddTo(d *Demand, through int, now time.Time) {
-	for i := range through + 1 {
+// AddTo adds the counted pieces of the classes from the first to the last given one to the demand.
+func (c *ClassCounts) AddTo(d *Demand, first, last int, now time.Time) {
+	for i := first; i <= last; i++ {
 		if c.pieces[i] > 0 {
 			c.classes[i].AddTo(d, now)
 		}
--- a/pkg/radishbatch/class_test.go
+++ b/pkg/radishbatch/class_test.go
@@ -39,9 +39,9 @@
 	var q Queue
 	items := []*Item{{Due: at(500), Class: 1}, {Due: at(500), Class: 4}, {Due: at(500), Class: 6}}
 	q.Add(items...)
-	count := func(through int) int {
+	count := func(last int) int {
 		var d Demand
-		q.AddClassesToDemand(&d, through, start)
+		q.AddClassesToDemand(&d, FirstClass, last, start)
 		return d.Total()
 	}
 	if got := [...]int{count(0), count(1), count(4), count(LastClass)}; got != [...]int{0, 1, 2, 3} {
--- a/pkg/radishbatch/queue.go
+++ b/pkg/radishbatch/queue.go
@@ -87,11 +87,11 @@
 func (q *Queue) Len() int { return len(q.items) }
 
 // AddToDemand adds the queued pieces to the demand.
-func (q *Queue) AddToDemand(d *Demand, now time.Time) { q.counts.AddTo(d, LastClass, now) }
+func (q *Queue) AddToDemand(d *Demand, now time.Time) { q.counts.AddTo(d, FirstClass, LastClass, now) }
 
-// AddClassesToDemand adds the queued pieces of the classes up to the given one to the demand.
-func (q *Queue) AddClassesToDemand(d *Demand, through int, now time.Time) {
-	q.counts.AddTo(d, through, now)
+// AddClassesToDemand adds the queued pieces of the classes from the first to the last given one to the demand.
+func (q *Queue) AddClassesToDemand(d *Demand, first, last int, now time.Time) {
+	q.counts.AddTo(d, first, last, now)
 }
 
 // MeanResultBytes returns the mean size of the results of the queued pieces.
