Reserve space for results when plans are admitted

Admission took the space for results into account as a limit of the throughput in pieces, as if all results had the size of the plan's own. The results of running calls were not counted at all, so that a target with several slots got calls whose results found no space.

Admission now counts the bytes of all admitted work that has no space yet, by class, against the space that is free at the usable targets and the rate at which results are released. Held plans are queued only when there will be space for their results. The space of a call is in use from its start; if the response is lost, until its results expire. Late pieces of begun plans run before those of plans that have not begun, since the results that they belong to take up space. This applies to plans with a priority only.

--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -152,21 +152,54 @@
 			continue
 		}
 		backlog := radishbatch.Backlog{TypicalBatchTime: typicalCallTime(batch)}
-		if upcoming := c.upcoming[s.Service]; upcoming != nil {
-			upcoming.AddTo(&backlog.Demand, from, through, now)
-		}
-		if held := c.held[s.Service]; held != nil {
-			held.AddTo(&backlog.Demand, from, through, now)
-		}
+		addCounts(&backlog, c.upcoming[s.Service], from, through, now)
+		addCounts(&backlog, c.held[s.Service], from, through, now)
 		if q := c.queues[s.Service]; q != nil {
 			q.AddClassesToDemand(&backlog.Demand, from, through, now)
+			backlog.ResultBytes += q.ResultBytes(from, through)
+		}
+		if p.Urgency != nil {
+			c.addCapacityAndSpace(&backlog, s.Service, s.ResultBytes, batch, now)
+		} else {
+			c.addCapacity(&backlog, s.Service, s.ResultBytes, batch, now)
 		}
-		c.addCapacity(&backlog, s.Service, s.ResultBytes, batch, now)
 		backlogs[s.Service] = backlog
 	}
 	return backlogs
 }
 
+// addCounts adds the counted pieces of the classes and the size of their results to the backlog.
+func addCounts(backlog *radishbatch.Backlog, counts *radishbatch.ClassCounts, from, through int, now time.Time) {
+	if counts != nil {
+		counts.AddTo(&backlog.Demand, from, through, now)
+		backlog.ResultBytes += counts.ResultBytes(from, through)
+	}
+}
+
+// addCapacityAndSpace adds the throughput of the service's usable targets, the space that is free at them for results of the given size, and
+// the rate at which they give it back. Space is counted apart from time, since the results of different plans differ in size.
+func (c *Coordinator) addCapacityAndSpace(
+	backlog *radishbatch.Backlog, service string, resultBytes int64, batch *radishroute.BatchSettings, now time.Time,
+) {
+	c.addCapacity(backlog, service, 0, batch, now)
+	if batch.ResultMemoryBytes <= 0 {
+		return
+	}
+	fullCallTime := batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
+	kept := (fullCallTime + c.byteRetention(service)).Seconds()
+	for _, t := range c.usableTargets(service, now) {
+		state := c.stateOf(t)
+		backlog.FreeBytes += usableBytes(state.space.FreeBytes(batch.ResultMemoryBytes, now), resultBytes)
+		backlog.BytesPerSecond += float64(usableBytes(state.space.PlannedBytes(batch.ResultMemoryBytes, now), resultBytes)) / kept
+	}
+}
+
+// usableBytes returns the part of the space at a target that whole results of the given size can take.
+func usableBytes(space, resultBytes int64) int64 {
+	space = max(0, space)
+	return space - space%max(1, resultBytes)
+}
+
 // addCapacity adds the throughput of the stage's usable targets, which is limited by call time or by space for results.
 func (c *Coordinator) addCapacity(
 	backlog *radishbatch.Backlog, service string, resultBytes int64, batch *radishroute.BatchSettings, now time.Time,
@@ -204,7 +237,7 @@
 			counts = &radishbatch.ClassCounts{}
 			upcoming[stage.Service] = counts
 		}
-		counts.Add(sign*stage.Pieces, j.dueTimes[i], j.class)
+		counts.Add(sign*stage.Pieces, stage.ResultBytes, j.dueTimes[i], j.class)
 	}
 }
 
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -54,6 +54,8 @@
 	held         map[string]*radishbatch.ClassCounts
 	arrivals     radishadmission.Arrivals
 	floors       radishadmission.Floors
+	// reservations counts the calls for whose results space was reserved.
+	reservations uint64
 	// shortAt is when a plan last found too little capacity, by service.
 	shortAt map[string]time.Time
 	// usable caches the usable targets by service.
@@ -61,7 +63,8 @@
 	// targets is by address.
 	targets map[string]*targetState
 	// retention is, by service, the moving average of the time for which a target stores a result.
-	retention map[string]time.Duration
+	retention      map[string]time.Duration
+	byteRetentions map[string]byteRetention
 	// contendedAt is when calls last showed that another VM's coordinator uses the same targets.
 	contendedAt  time.Time
 	recheckTimer *time.Timer
@@ -144,6 +147,7 @@
 	c.usable = make(map[string]usableTargets)
 	c.targets = make(map[string]*targetState)
 	c.retention = make(map[string]time.Duration)
+	c.byteRetentions = make(map[string]byteRetention)
 }
 
 // advance queues the stages of the job whose inputs are complete, and ends the job once all stages are.
--- a/internal/radishstage/dispatch.go
+++ b/internal/radishstage/dispatch.go
@@ -44,7 +44,8 @@
 	}
 	backlog := radishbatch.Backlog{TypicalBatchTime: typicalCallTime(batch)}
 	q.AddToDemand(&backlog.Demand, now)
-	c.addCapacity(&backlog, service, q.MeanResultBytes(), batch, now)
+	backlog.ResultBytes = q.ResultBytes(radishbatch.FirstClass, radishbatch.LastClass)
+	c.addCapacityAndSpace(&backlog, service, 0, batch, now)
 	return backlog.IsShort()
 }
 
--- a/internal/radishstage/floor.go
+++ b/internal/radishstage/floor.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		var backlog radishbatch.Backlog
-		c.addCapacity(&backlog, s.Service, s.ResultBytes, batch, now)
+		c.addCapacity(&backlog, s.Service, 0, batch, now)
 		if !c.floors.IsBelow(s.Service, k, backlog.PiecesPerSecond, now) {
 			return false
 		}
--- a/internal/radishstage/hold.go
+++ b/internal/radishstage/hold.go
@@ -126,17 +126,14 @@
 		return l
 	}
 	l.TypicalBatchTime = typicalCallTime(batch)
-	c.addCapacity(&l.Backlog, s.Service, s.ResultBytes, batch, now)
+	c.addCapacityAndSpace(&l.Backlog, s.Service, s.ResultBytes, batch, now)
 	if q := c.queues[s.Service]; q != nil {
 		q.AddToDemand(&l.Demand, now)
+		l.ResultBytes += q.ResultBytes(radishbatch.FirstClass, radishbatch.LastClass)
 	}
-	if upcoming := c.upcoming[s.Service]; upcoming != nil {
-		upcoming.AddTo(&l.Demand, radishbatch.FirstClass, radishbatch.LastClass, now)
-	}
+	addCounts(&l.Backlog, c.upcoming[s.Service], radishbatch.FirstClass, radishbatch.LastClass, now)
 	all := l.Backlog
-	if held := c.held[s.Service]; held != nil {
-		held.AddTo(&all.Demand, radishbatch.FirstClass, radishbatch.LastClass, now)
-	}
+	addCounts(&all, c.held[s.Service], radishbatch.FirstClass, radishbatch.LastClass, now)
 	l.isShort = all.IsShort() || c.wasShort(s.Service, now)
 	return l
 }
@@ -146,6 +143,7 @@
 	for i, s := range j.plan.Stages {
 		if l := loads[s.Service]; l != nil {
 			l.Demand.Add(s.Pieces, j.dueTimes[i].Sub(now))
+			l.ResultBytes += int64(s.Pieces) * s.ResultBytes
 		}
 	}
 }
@@ -165,7 +163,7 @@
 		}
 		l := c.loadOf(s, loads, now)
 		ends[i] += l.TypicalBatchTime
-		if float64(l.pieces(j.dueTimes[i].Sub(now))) > l.PiecesPerSecond*ends[i].Seconds() {
+		if !l.HasCapacityWithin(l.pieces(j.dueTimes[i].Sub(now)), int64(s.Pieces)*s.ResultBytes, ends[i]) {
 			return false
 		}
 	}
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -111,7 +111,8 @@
 		}
 		item := &radishbatch.Item{
 			Piece: piece, Due: j.dueTimes[i], Deadline: j.plan.Deadline, InputsExpireAt: expires, ResultBytes: stage.ResultBytes,
-			PreferredDataCentre: j.dataCentre, IsDataHeavy: j.isDataHeavy(i), Worth: j.plan.Worth, Class: j.class, QueuedAt: now,
+			PreferredDataCentre: j.dataCentre, IsDataHeavy: j.isDataHeavy(i), Worth: j.plan.Worth, Class: j.class,
+			HasBegun: j.begun && j.plan.Urgency != nil, QueuedAt: now,
 		}
 		items = append(items, item)
 		j.items[item] = true
--- a/internal/radishstage/plan.go
+++ b/internal/radishstage/plan.go
@@ -62,7 +62,7 @@
 func (p *Plan) stageNeeds(dueTimes []time.Time, now time.Time) []radishbatch.StageWork {
 	needs := make([]radishbatch.StageWork, len(p.Stages))
 	for i, s := range p.Stages {
-		needs[i] = radishbatch.StageWork{Service: s.Service, DependsOn: s.After, Pieces: s.Pieces, DueIn: max(0, dueTimes[i].Sub(now))}
+		needs[i] = radishbatch.StageWork{Service: s.Service, DependsOn: s.After, Pieces: s.Pieces, ResultBytes: s.ResultBytes, DueIn: max(0, dueTimes[i].Sub(now))}
 	}
 	return needs
 }
--- a/internal/radishstage/priority.go
+++ b/internal/radishstage/priority.go
@@ -28,7 +28,14 @@
 
 // begin records that a piece of the job is part of a call. From then on the job gives way to no other, since its results would be lost.
 func (c *Coordinator) begin(j *job) {
+	if j.begun || j.plan.Urgency == nil {
+		j.begun = true
+		return
+	}
 	j.begun = true
+	for item := range j.items {
+		item.HasBegun = true
+	}
 	c.recordUse(j, time.Now())
 	c.setClass(j, radishbatch.FirstClass)
 }
@@ -89,7 +96,7 @@
 			continue
 		}
 		backlog := backlogs[need.Service]
-		pieces, dueBy := backlog.Excess(need.Pieces, need.DueIn)
+		pieces, dueBy := backlog.Excess(need)
 		if pieces == 0 {
 			continue
 		}
--- a/internal/radishstage/release.go
+++ b/internal/radishstage/release.go
@@ -120,8 +120,10 @@
 	}
 	now := time.Now()
 	for _, handle := range handles {
+		bytes := s.space.BytesOf(handle)
 		if retained, ok := s.space.Remove(handle, now); ok {
 			c.recordRetention(s.target.Service, retained)
+			c.recordByteRetention(s.target.Service, retained, bytes)
 		}
 	}
 	c.dispatch(now)
@@ -143,3 +145,25 @@
 	}
 	return defaultRetention
 }
+
+// byteRetention is the moving average of the time for which the bytes of results are stored: results of different size are stored for
+// different times.
+type byteRetention struct {
+	bytes, byteSeconds float64
+}
+
+func (c *Coordinator) recordByteRetention(service string, retained time.Duration, bytes int64) {
+	r := c.byteRetentions[service]
+	r.bytes = (1-retentionWeight)*r.bytes + float64(bytes)
+	r.byteSeconds = (1-retentionWeight)*r.byteSeconds + float64(bytes)*retained.Seconds()
+	c.byteRetentions[service] = r
+}
+
+// byteRetention returns the expected time for which a byte of a result of the service is stored after its call.
+func (c *Coordinator) byteRetention(service string) time.Duration {
+	r := c.byteRetentions[service]
+	if r.bytes == 0 {
+		return defaultRetention
+	}
+	return time.Duration(r.byteSeconds / r.bytes * float64(time.Second))
+}
--- a/internal/radishstage/replay_test.go
+++ b/internal/radishstage/replay_test.go
@@ -1,6 +1,7 @@
 package radishstage
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -21,6 +22,8 @@
 	stages      []Stage
 	near        string
 	urgency     *radishadmission.Urgency
+	// readTime is the time after which the results of a plan have been read.
+	readTime time.Duration
 }
 
 // tally counts the outcomes of a kind's calls.
@@ -35,7 +38,7 @@
 // read some time after the plan has ended and then released.
 func replay(t *testing.T, c *Coordinator, kinds []callKind) map[string]*tally {
 	t.Helper()
-	const readTime = 200 * time.Millisecond
+	const defaultReadTime = 200 * time.Millisecond
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	tallies := make(map[string]*tally)
@@ -65,7 +68,7 @@
 		}
 		mu.Unlock()
 		if err == nil {
-			time.Sleep(readTime)
+			time.Sleep(cmp.Or(kind.readTime, defaultReadTime))
 			for _, handles := range result.Handles {
 				c.Free(handles)
 			}
--- a/internal/radishstage/stage_call.go
+++ b/internal/radishstage/stage_call.go
@@ -48,6 +48,7 @@
 		pieces[i] = item.Piece
 		pieces[i].Timeout = item.Deadline.Sub(now)
 	}
+	reservation := c.reserveSpace(t, batch, items, now)
 	hedgeTimer := time.AfterFunc(time.Duration(hedgeFactor*float64(expected))+hedgeSlack, func() { c.hedge(t, service, items) })
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeoutFactor*expected)
@@ -56,7 +57,7 @@
 		hedgeTimer.Stop()
 		call := &finishedCall{
 			target: t, service: service, batch: batch, items: items, results: results, err: err, took: time.Since(now), expected: expected,
-			trackedBytes: tracked,
+			trackedBytes: tracked, reservation: reservation,
 		}
 		c.finishCall(call)
 	}()
@@ -74,6 +75,8 @@
 	expected time.Duration
 	// trackedBytes is the size of the results that this coordinator had recorded at the target when the call started.
 	trackedBytes int64
+	// reservation is the record of the space that the results may take; empty if there is none.
+	reservation string
 }
 
 // resultBytes returns the size of the results that the call produced, and whether the target lacked space for others.
@@ -123,6 +126,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	s := c.stateOf(call.target)
+	c.endReservation(call, s, now)
 	s.activeCalls = max(0, s.activeCalls-1)
 	c.Metrics.RecordStageCall(call.service, call.took, len(call.items), call.err == nil)
 	c.Log.Debug("stage call ended", "target", call.target.Name, "service", call.service, "pieces", len(call.items),
--- a/pkg/radishbatch/backlog.go
+++ b/pkg/radishbatch/backlog.go
@@ -17,6 +17,12 @@
 	Targets int
 	// BusyTargets is the number of targets that cannot start another batch now.
 	BusyTargets int
+	// ResultBytes is the total size of the results of the pieces in Demand, for which no space is in use yet.
+	ResultBytes int64
+	// FreeBytes is the space for results that is free now, and BytesPerSecond the rate at which space is given back when all of it is in
+	// use. If the rate is 0, space is not considered.
+	FreeBytes      int64
+	BytesPerSecond float64
 }
 
 // StageWork is the work that a call requires from one of its stages.
@@ -27,6 +33,8 @@
 	DependsOn []int
 	// Pieces is the number of pieces; 0 skips the stage.
 	Pieces int
+	// ResultBytes is the size of the result of each piece.
+	ResultBytes int64
 	// DueIn is the time from now within which the results are needed; work that is due later does not run before them.
 	DueIn time.Duration
 }
@@ -48,17 +56,17 @@
 		if !exists || backlog.Targets == 0 || backlog.PiecesPerSecond <= 0 {
 			return 0, false
 		}
-		ends[i] = begin + backlog.wait(stage.DueIn, begin) + backlog.TypicalBatchTime
+		ends[i] = begin + backlog.wait(stage, begin) + backlog.TypicalBatchTime
 		total = max(total, ends[i])
 	}
 	return total, true
 }
 
-// Unloaded returns a copy of the backlogs in which no piece is queued and all targets are idle.
+// Unloaded returns a copy of the backlogs in which no piece is queued, all targets are idle and their space is free.
 func Unloaded(backlogs map[string]Backlog) map[string]Backlog {
 	idle := make(map[string]Backlog, len(backlogs))
 	for service, backlog := range backlogs {
-		backlog.Demand, backlog.BusyTargets = Demand{}, 0
+		backlog.Demand, backlog.BusyTargets, backlog.BytesPerSecond = Demand{}, 0, 0
 		idle[service] = backlog
 	}
 	return idle
@@ -69,9 +77,35 @@
 	return time.Duration(float64(pieces) / b.PiecesPerSecond * float64(time.Second))
 }
 
-// wait returns the queueing time of a piece with the due time that joins the queue after the given time from now.
-func (b *Backlog) wait(due, after time.Duration) time.Duration {
-	wait := max(0, b.processingTime(b.Demand.DueBy(due+orderTolerance))-after)
+// spaceTime returns the time from now after which there is space for the results of the given pieces of the demand and for further ones of
+// the given size.
+func (b *Backlog) spaceTime(pieces int, added int64) time.Duration {
+	return b.timeOfSpace(float64(pieces)*b.meanResultBytes() + float64(added))
+}
+
+// timeOfSpace returns the time from now after which there is space for results of the given total size.
+func (b *Backlog) timeOfSpace(bytes float64) time.Duration {
+	if b.BytesPerSecond <= 0 {
+		return 0
+	}
+	missing := bytes - float64(b.FreeBytes)
+	return time.Duration(max(0, missing) / b.BytesPerSecond * float64(time.Second))
+}
+
+func (b *Backlog) meanResultBytes() float64 {
+	return float64(b.ResultBytes) / float64(max(1, b.Demand.Total()))
+}
+
+// HasCapacityWithin reports whether the given pieces of the demand are done, and there is space for their results and for further ones of the
+// given size, within the given time.
+func (b *Backlog) HasCapacityWithin(pieces int, added int64, within time.Duration) bool {
+	return float64(pieces) <= b.PiecesPerSecond*within.Seconds() && b.spaceTime(pieces, added) <= within
+}
+
+// wait returns the queueing time of a stage's pieces that join the queue after the given time from now.
+func (b *Backlog) wait(stage StageWork, after time.Duration) time.Duration {
+	ahead := b.Demand.DueBy(stage.DueIn + orderTolerance)
+	wait := max(0, max(b.processingTime(ahead), b.spaceTime(ahead, int64(stage.Pieces)*stage.ResultBytes))-after)
 	if b.BusyTargets >= b.Targets {
 		// All targets are busy: the expected time until the first of them is free is a fraction of a batch.
 		wait = max(wait, b.TypicalBatchTime/time.Duration(b.Targets+1))
@@ -92,33 +126,40 @@
 
 // IsShort reports whether the capacity is too small for all pieces to be in time that could be if they ran alone.
 func (b *Backlog) IsShort() bool {
-	ahead := 0
+	ahead, mean := 0, b.meanResultBytes()
 	for i, queued := range b.Demand.pieces[:demandBuckets-1] {
 		ahead += queued
 		end := time.Duration(i+1) * bucketWidth
-		if queued > 0 && b.TypicalBatchTime <= end && b.processingTime(ahead)+b.TypicalBatchTime > end {
+		needed := max(b.processingTime(ahead), b.timeOfSpace(float64(ahead)*mean)) + b.TypicalBatchTime
+		if queued > 0 && b.TypicalBatchTime <= end && needed > end {
 			return true
 		}
 	}
 	return false
 }
 
-// Excess returns how many pieces too many there are for all to be in time once the given pieces with the due time are added, but no more
-// than the added ones, and the time from now by which the pieces are due of which some must give way.
-func (b *Backlog) Excess(pieces int, due time.Duration) (excess int, dueBy time.Duration) {
-	ahead := pieces
+// Excess returns how many pieces too many there are for all to be in time once the stage's pieces are added, but no more than are displaced by
+// these, and the time from now by which the pieces are due of which some must give way.
+func (b *Backlog) Excess(stage StageWork) (excess int, dueBy time.Duration) {
+	ahead, added := 0, int64(stage.Pieces)*stage.ResultBytes
+	first, mean := bucketOf(stage.DueIn), b.meanResultBytes()
 	for i, queued := range b.Demand.pieces[:demandBuckets-1] {
 		ahead += queued
-		if i < bucketOf(due) || (queued == 0 && i != bucketOf(due)) {
+		if i < first || (queued == 0 && i != first) {
 			continue
 		}
 		end := time.Duration(i+1) * bucketWidth
-		inTime := b.PiecesPerSecond * max(0, end-b.TypicalBatchTime).Seconds()
-		if tooMany := int(math.Ceil(float64(ahead) - inTime)); tooMany > excess {
+		begin := max(0, end-b.TypicalBatchTime)
+		tooMany := min(stage.Pieces, int(math.Ceil(float64(ahead+stage.Pieces)-b.PiecesPerSecond*begin.Seconds())))
+		if late := b.timeOfSpace(float64(ahead)*mean+float64(added)) - begin; late > 0 && mean > 0 {
+			bytes := min(float64(added), b.BytesPerSecond*late.Seconds())
+			tooMany = max(tooMany, int(math.Ceil(bytes/mean)))
+		}
+		if tooMany > excess {
 			excess, dueBy = tooMany, end
 		}
 	}
-	return min(pieces, excess), dueBy
+	return excess, dueBy
 }
 
 // DueLast returns a copy of the stages with due times so late that all other work runs first.
--- a/pkg/radishbatch/class.go
+++ b/pkg/radishbatch/class.go
@@ -16,12 +16,24 @@
 type ClassCounts struct {
 	classes [Classes]DueCounts
 	pieces  [Classes]int
+	bytes   [Classes]int64
 }
 
-// Add counts pieces of the class that are due at the given time; a negative number removes pieces that were counted so.
-func (c *ClassCounts) Add(pieces int, due time.Time, class int) {
+// Add counts pieces of the class, each with a result of the given size, that are due at the given time; a negative number removes pieces
+// that were counted so.
+func (c *ClassCounts) Add(pieces int, resultBytes int64, due time.Time, class int) {
 	c.classes[class].Add(pieces, due)
 	c.pieces[class] += pieces
+	c.bytes[class] += int64(pieces) * resultBytes
+}
+
+// ResultBytes returns the total size of the results of the counted pieces of the classes from the first to the last given one.
+func (c *ClassCounts) ResultBytes(first, last int) int64 {
+	total := int64(0)
+	for _, n := range c.bytes[first : last+1] {
+		total += n
+	}
+	return total
 }
 
 // AddTo adds the counted pieces of the classes from the first to the last given one to the demand.
--- a/pkg/radishbatch/class_test.go
+++ b/pkg/radishbatch/class_test.go
@@ -63,13 +63,13 @@
 func TestExcess(t *testing.T) {
 	b := Backlog{PiecesPerSecond: 10, TypicalBatchTime: 300 * time.Millisecond, Targets: 1}
 	b.Demand.Add(10, 1250*time.Millisecond)
-	if n, _ := b.Excess(2, 500*time.Millisecond); n != 2 {
+	if n, _ := b.Excess(StageWork{Pieces: 2, DueIn: 500 * time.Millisecond}); n != 2 {
 		t.Errorf("%d pieces too many, want 2: 10 fit until 1300 ms", n)
 	}
-	if n, by := b.Excess(5, 500*time.Millisecond); n != 5 || by != 1300*time.Millisecond {
+	if n, by := b.Excess(StageWork{Pieces: 5, DueIn: 500 * time.Millisecond}); n != 5 || by != 1300*time.Millisecond {
 		t.Errorf("%d pieces too many by %v, want 5 by 1300 ms", n, by)
 	}
-	if n, _ := b.Excess(5, 2*time.Second); n != 0 {
+	if n, _ := b.Excess(StageWork{Pieces: 5, DueIn: 2 * time.Second}); n != 0 {
 		t.Errorf("%d pieces too many, want none: 15 fit until 2100 ms", n)
 	}
 	if b.IsShort() {
--- a/pkg/radishbatch/queue.go
+++ b/pkg/radishbatch/queue.go
@@ -41,6 +41,8 @@
 	Worth float64
 	// Class orders pieces where there is too little capacity for all: those of lower classes run first.
 	Class int
+	// HasBegun is whether results of other pieces of the call are lost if this one is not made in time for its deadline.
+	HasBegun bool
 	// QueuedAt is the time at which the piece was first queued.
 	QueuedAt time.Time
 	// Attempts is the number of batches that attempted the piece.
@@ -60,8 +62,6 @@
 	// thousands of pieces, and hundreds of batches a second start.
 	items  []*Item
 	counts ClassCounts
-	// resultBytes is the total size of the results of the queued pieces.
-	resultBytes int64
 }
 
 // Add queues pieces. The due time of a piece must not change while it is queued.
@@ -73,8 +73,7 @@
 			return cmp.Or(compareDue(queued, added), -1)
 		})
 		q.items = slices.Insert(q.items, at, item)
-		q.counts.Add(1, item.Due, item.Class)
-		q.resultBytes += item.ResultBytes
+		q.counts.Add(1, item.ResultBytes, item.Due, item.Class)
 	}
 }
 
@@ -94,8 +93,8 @@
 	q.counts.AddTo(d, first, last, now)
 }
 
-// MeanResultBytes returns the mean size of the results of the queued pieces.
-func (q *Queue) MeanResultBytes() int64 { return q.resultBytes / int64(max(1, len(q.items))) }
+// ResultBytes returns the total size of the results of the queued pieces of the classes from the first to the last given one.
+func (q *Queue) ResultBytes(first, last int) int64 { return q.counts.ResultBytes(first, last) }
 
 // HasSeveralClasses reports whether the order of the queue depends on classes if there is too little capacity.
 func (q *Queue) HasSeveralClasses() bool { return q.counts.HasSeveral() }
@@ -103,8 +102,8 @@
 // SetClass changes the class of a piece, queued or not.
 func (q *Queue) SetClass(item *Item, class int) {
 	if item.isQueued {
-		q.counts.Add(-1, item.Due, item.Class)
-		q.counts.Add(1, item.Due, class)
+		q.counts.Add(-1, item.ResultBytes, item.Due, item.Class)
+		q.counts.Add(1, item.ResultBytes, item.Due, class)
 	}
 	item.Class = class
 }
@@ -121,8 +120,7 @@
 	})
 	for _, i := range removed {
 		i.isQueued = false
-		q.counts.Add(-1, i.Due, i.Class)
-		q.resultBytes -= i.ResultBytes
+		q.counts.Add(-1, i.ResultBytes, i.Due, i.Class)
 	}
 	return removed
 }
@@ -291,6 +289,8 @@
 	switch {
 	case !i.Due.Before(end):
 		return rankInTime
+	case i.InputsExpireAt.IsZero() && i.HasBegun:
+		return rankLateStarted
 	case i.InputsExpireAt.IsZero():
 		return rankLateNotStarted
 	case now.Add(inputExpiryMargin).After(i.InputsExpireAt):
--- a/pkg/radishbatch/result_space.go
+++ b/pkg/radishbatch/result_space.go
@@ -60,6 +60,14 @@
 	return now.Sub(tracked.createdAt), ok
 }
 
+// BytesOf returns the size of a tracked result.
+func (s *ResultSpace) BytesOf(handle string) int64 { return s.results[handle].bytes }
+
+// PlannedBytes estimates how many bytes of the target's result space batches may fill when no tracked result is stored.
+func (s *ResultSpace) PlannedBytes(capacity int64, now time.Time) int64 {
+	return int64(plannedShare*float64(capacity)) - int64(s.untrackedBytes(now))
+}
+
 // TrackedBytes returns the total size of the tracked results.
 func (s *ResultSpace) TrackedBytes(now time.Time) int64 {
 	if now.After(s.nextExpiry) {
