Drop plans that can no longer end before their deadline

A plan whose pieces waited was given up only when a single call to its next stage would have missed the deadline. Until then it took part in calls, and its results took up space.

Every 50 ms the coordinator estimates the shortest time of each plan with a priority: the running calls with its pieces, the next free target of the stages that wait, and one call for each stage that follows. Plans that cannot end even if calls take 0.8 of their expected time are ended: those of which no piece ran are refused as not run, the results of the others are released.

TestHopelessPlanReleasesItsResults failed before: the plan ended 430 ms later (690 ms after its start, with a deadline after 900 ms).

--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -54,6 +54,8 @@
 	held         map[string]*radishbatch.ClassCounts
 	arrivals     radishadmission.Arrivals
 	floors       radishadmission.Floors
+	// hopelessAt is when the jobs were last checked for whether they can still end in time.
+	hopelessAt time.Time
 	// reservations counts the calls for whose results space was reserved.
 	reservations uint64
 	// shortAt is when a plan last found too little capacity, by service.
@@ -211,6 +213,8 @@
 		return "made"
 	case errors.As(err, &refused):
 		return "gave_way"
+	case errors.Is(err, errHopeless):
+		return "hopeless"
 	case errors.Is(err, ErrFailed):
 		return "failed"
 	case errors.Is(err, ErrMoved):
@@ -271,6 +275,7 @@
 
 func (c *Coordinator) dispatchRound(now time.Time) {
 	c.dispatchedAt = now
+	c.dropHopeless(now)
 	c.queueHeld(now)
 	waiting := len(c.heldJobs)
 	for service, q := range c.queues {
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -52,6 +52,8 @@
 	released bool
 	// started holds the numbers of the pieces that calls execute or have completed.
 	started map[int]bool
+	// runsUntil is the latest expected end of the first calls with its pieces.
+	runsUntil time.Time
 	// expires is when the first of the results expires.
 	expires time.Time
 }
--- a/internal/radishstage/stage_call.go
+++ b/internal/radishstage/stage_call.go
@@ -34,11 +34,16 @@
 ) {
 	c.stateOf(t).activeCalls++
 	expected := batch.CallTime + time.Duration(len(items))*batch.PieceTime
+	end := now.Add(expected)
+	c.stateOf(t).callEnds = append(c.stateOf(t).callEnds, end)
 	tracked := c.stateOf(t).space.TrackedBytes(now)
 	pieces := make([]radish.Piece, len(items))
 	for i, item := range items {
 		if j := c.owners[item]; j != nil {
 			c.begin(j)
+			if stage := &j.stages[item.Piece.Stage]; item.Attempts == 0 && end.After(stage.runsUntil) {
+				stage.runsUntil = end
+			}
 			if item.IsDataHeavy {
 				j.pinDataCentre(t.DataCentre)
 			}
@@ -57,7 +62,7 @@
 		hedgeTimer.Stop()
 		call := &finishedCall{
 			target: t, service: service, batch: batch, items: items, results: results, err: err, took: time.Since(now), expected: expected,
-			trackedBytes: tracked, reservation: reservation,
+			trackedBytes: tracked, reservation: reservation, expectedEnd: end,
 		}
 		c.finishCall(call)
 	}()
@@ -73,6 +78,8 @@
 	err      error
 	took     time.Duration
 	expected time.Duration
+	// expectedEnd is when the call was expected to end.
+	expectedEnd time.Time
 	// trackedBytes is the size of the results that this coordinator had recorded at the target when the call started.
 	trackedBytes int64
 	// reservation is the record of the space that the results may take; empty if there is none.
@@ -126,6 +133,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	s := c.stateOf(call.target)
+	s.endOfCall(call.expectedEnd)
 	c.endReservation(call, s, now)
 	s.activeCalls = max(0, s.activeCalls-1)
 	c.Metrics.RecordStageCall(call.service, call.took, len(call.items), call.err == nil)
--- a/internal/radishstage/target_state.go
+++ b/internal/radishstage/target_state.go
@@ -23,7 +23,9 @@
 	target       radish.Target
 	activeCalls  int
 	blockedUntil time.Time
-	space        radishbatch.ResultSpace
+	// callEnds are the expected ends of the running calls.
+	callEnds []time.Time
+	space    radishbatch.ResultSpace
 	// slowness is the moving average of the ratio of actual to expected call time.
 	slowness float64
 	// pendingRelease are the handles that the next release call to the target will contain.
