Refuse held plans once the work before them makes them late

A held plan was refused when it would have been late with idle targets, and queued when at most one batch more than usual preceded it at each stage. Plans that were queued in between were late, in favour of nothing.

The estimate of the time from now on now includes the work that precedes the plan. If that makes it late while capacity is short, the plan is refused as not run.

--- a/internal/radishstage/hold.go
+++ b/internal/radishstage/hold.go
@@ -55,11 +55,12 @@
 		if !j.isHeld {
 			continue
 		}
-		if j.isLate(now) && c.isShortFor(j, loads, now) {
-			c.endJob(j, &RefusedError{RetryAfter: minRetryAfter, Reason: "more urgent plans took the capacity"})
+		total, hasCapacity := c.timeFromNow(j, loads, now)
+		if now.Add(total).After(j.plan.Due) && c.isShortFor(j, loads, now) {
+			c.endJob(j, &RefusedError{RetryAfter: max(minRetryAfter, total), Reason: "more urgent plans took the capacity"})
 			continue
 		}
-		if c.hasCapacityNow(j, loads, now) {
+		if hasCapacity {
 			j.addTo(loads, now)
 			c.unhold(j)
 			c.advance(j)
@@ -148,24 +149,23 @@
 	}
 }
 
-// hasCapacityNow reports whether the targets of each stage of the job will have done most of the work that precedes it when the job gets
-// there. One more batch is left to them, so that they never wait for work.
-func (c *Coordinator) hasCapacityNow(j *job, loads map[string]*serviceLoad, now time.Time) bool {
+// timeFromNow returns the estimated time of the job if it is queued now, and whether the targets of each stage will have done most of the work
+// that precedes it when the job gets there. One more batch is left to them, so that they never wait for work.
+func (c *Coordinator) timeFromNow(j *job, loads map[string]*serviceLoad, now time.Time) (total time.Duration, hasCapacity bool) {
 	ends := make([]time.Duration, len(j.plan.Stages))
+	hasCapacity = true
 	for i, s := range j.plan.Stages {
-		begin := time.Duration(0)
 		for _, dep := range s.After {
-			begin = max(begin, ends[dep])
+			ends[i] = max(ends[i], ends[dep])
 		}
-		ends[i] = begin
 		if s.Pieces == 0 {
 			continue
 		}
 		l := c.loadOf(s, loads, now)
-		ends[i] += l.TypicalBatchTime
-		if !l.HasCapacityWithin(l.pieces(j.dueTimes[i].Sub(now)), int64(s.Pieces)*s.ResultBytes, ends[i]) {
-			return false
-		}
+		wait := max(0, l.TimeOf(l.pieces(j.dueTimes[i].Sub(now)), int64(s.Pieces)*s.ResultBytes)-ends[i])
+		hasCapacity = hasCapacity && wait <= l.TypicalBatchTime
+		ends[i] += wait + l.TypicalBatchTime
+		total = max(total, ends[i])
 	}
-	return true
+	return total, hasCapacity
 }
--- a/pkg/radishbatch/backlog.go
+++ b/pkg/radishbatch/backlog.go
@@ -72,8 +72,17 @@
 	return idle
 }
 
+// never is longer than any call waits.
+const never = time.Hour
+
 // processingTime returns how long the targets together take to process the pieces.
 func (b *Backlog) processingTime(pieces int) time.Duration {
+	if pieces == 0 {
+		return 0
+	}
+	if b.PiecesPerSecond <= 0 {
+		return never
+	}
 	return time.Duration(float64(pieces) / b.PiecesPerSecond * float64(time.Second))
 }
 
@@ -96,16 +105,16 @@
 	return float64(b.ResultBytes) / float64(max(1, b.Demand.Total()))
 }
 
-// HasCapacityWithin reports whether the given pieces of the demand are done, and there is space for their results and for further ones of the
-// given size, within the given time.
-func (b *Backlog) HasCapacityWithin(pieces int, added int64, within time.Duration) bool {
-	return float64(pieces) <= b.PiecesPerSecond*within.Seconds() && b.spaceTime(pieces, added) <= within
+// TimeOf returns the time from now after which the given pieces of the demand are done and there is space for their results and for further
+// ones of the given size.
+func (b *Backlog) TimeOf(pieces int, added int64) time.Duration {
+	return max(b.processingTime(pieces), b.spaceTime(pieces, added))
 }
 
 // wait returns the queueing time of a stage's pieces that join the queue after the given time from now.
 func (b *Backlog) wait(stage StageWork, after time.Duration) time.Duration {
 	ahead := b.Demand.DueBy(stage.DueIn + orderTolerance)
-	wait := max(0, max(b.processingTime(ahead), b.spaceTime(ahead, int64(stage.Pieces)*stage.ResultBytes))-after)
+	wait := max(0, b.TimeOf(ahead, int64(stage.Pieces)*stage.ResultBytes)-after)
 	if b.BusyTargets >= b.Targets {
 		// All targets are busy: the expected time until the first of them is free is a fraction of a batch.
 		wait = max(wait, b.TypicalBatchTime/time.Duration(b.Targets+1))
