Share capacity equally among the teams that ask

A team that sent many times as much as others got most of the capacity: plans were admitted in the order in which they came.

Each priority has two classes: that of the teams that got at most an equal share of the targets' time of the last seconds, and that of the others. Plans of the first do not wait for plans of the second that have not begun, and these give way. Among plans of the same class, those whose team, size or data centre got less than its floor give way last. `plan refused` and `plan gives way` name priority, team and the team's share; `radishramp_plans` has the label `priority`.

--- a/internal/radishmetric/metric.go
+++ b/internal/radishmetric/metric.go
@@ -58,7 +58,7 @@
 	m.attempts, errs[2] = m.meter.Int64Counter("radishramp_attempts", metric.WithDescription("Attempts by service and result; crossed and cut answers were dropped."))
 	m.retries, errs[3] = m.meter.Int64Counter("radishramp_retries", metric.WithDescription("Retries by service."))
 	m.permits, errs[4] = m.meter.Int64Counter("radishramp_permits", metric.WithDescription("Permits for cold targets asked for, by result."))
-	m.plans, errs[5] = m.meter.Int64Counter("radishramp_plans", metric.WithDescription("Plans of stages at this coordinator by outcome."))
+	m.plans, errs[5] = m.meter.Int64Counter("radishramp_plans", metric.WithDescription("Plans of stages at this coordinator by outcome and priority."))
 	m.callSeconds, errs[6] = m.meter.Float64Histogram("radishramp_stage_call_seconds", metric.WithDescription("Time of calls to stage targets by service and result."),
 		metric.WithExplicitBucketBoundaries(.1, .2, .3, .4, .5, .7, 1, 2, 5))
 	m.callPieces, errs[7] = m.meter.Int64Histogram("radishramp_stage_call_pieces", metric.WithDescription("Pieces of calls to stage targets by service."),
@@ -87,7 +87,7 @@
 		"cut":     {"service", "target"},
 		"retry":   {"service", ""},
 		"permit":  {"result", ""},
-		"plan":    {"outcome", ""},
+		"plan":    {"outcome", "priority"},
 		"call":    {"service", "result"},
 		"pieces":  {"service", ""},
 	}[instrument]
@@ -150,10 +150,10 @@
 	m.permits.Add(context.Background(), 1, m.attributeOption("permit", result, ""))
 }
 
-// RecordPlan records the outcome of a plan of stages.
-func (m *Metrics) RecordPlan(outcome string) {
+// RecordPlan records the outcome of a plan of stages. The priority is empty if priorities do not compete.
+func (m *Metrics) RecordPlan(outcome, priority string) {
 	if m != nil {
-		m.plans.Add(context.Background(), 1, m.attributeOption("plan", outcome, ""))
+		m.plans.Add(context.Background(), 1, m.attributeOption("plan", outcome, priority))
 	}
 }
 
--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"strconv"
 	"time"
 
 	"radishramp.example/radishramp/pkg/radishadmission"
@@ -35,8 +37,7 @@
 
 // decide returns the decision to admit the plan, with the estimated time behind the work that was admitted before, or the error with which
 // the plan is refused. A plan that cannot finish in time is admitted only while queues are short, so that it does not make others late.
-func (c *Coordinator) decide(p *Plan, kinds []radishadmission.Kind, now time.Time) (admission, error) {
-	class := c.classOf(p)
+func (c *Coordinator) decide(p *Plan, class int, kinds []radishadmission.Kind, now time.Time) (admission, error) {
 	needs := p.stageNeeds(p.dueTimes(c.typicalTime), now)
 	behindAll := c.serviceBacklogs(p, radishbatch.FirstClass, radishbatch.LastClass, now)
 	expected, ok := radishbatch.EstimateDuration(behindAll, needs)
@@ -134,12 +135,36 @@
 	for service, q := range c.queues {
 		waiting[service] = q.Len()
 	}
-	c.Metrics.RecordPlan("refused")
-	c.Log.Info("plan refused", "id", p.CallID, "reason", err.Reason, "expected_ms", expected.Milliseconds(), "jobs", len(c.jobs),
-		"waiting", waiting, "retry_after_ms", err.RetryAfter.Milliseconds())
+	c.Metrics.RecordPlan("refused", priorityLabel(p))
+	fields := []any{
+		"id", p.CallID, "reason", err.Reason, "expected_ms", expected.Milliseconds(), "jobs", len(c.jobs), "waiting", waiting,
+		"retry_after_ms", err.RetryAfter.Milliseconds(),
+	}
+	c.Log.Info("plan refused", append(fields, c.urgencyFields(p)...)...)
 	return err
 }
 
+// urgencyFields returns the log fields for the plan's urgency and its team's use of the capacity.
+func (c *Coordinator) urgencyFields(p *Plan) []any {
+	if p.Urgency == nil {
+		return nil
+	}
+	use := c.shares.Use(p.Urgency.Team, time.Now())
+	return []any{
+		"priority", p.Urgency.Priority, "team", p.Urgency.Team, "team_share", round2(use.Share), "fair_share", round2(use.FairShare),
+		"held", len(c.heldJobs),
+	}
+}
+
+func round2(x float64) float64 { return math.Round(100*x) / 100 }
+
+func priorityLabel(p *Plan) string {
+	if p.Urgency == nil {
+		return ""
+	}
+	return strconv.Itoa(p.Urgency.Priority)
+}
+
 // serviceBacklogs returns, for each service that the plan uses, the demand of the given classes and the capacity.
 func (c *Coordinator) serviceBacklogs(p *Plan, from, through int, now time.Time) map[string]radishbatch.Backlog {
 	backlogs := make(map[string]radishbatch.Backlog)
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -54,6 +54,7 @@
 	held         map[string]*radishbatch.ClassCounts
 	arrivals     radishadmission.Arrivals
 	floors       radishadmission.Floors
+	shares       radishadmission.Shares
 	// hopelessAt is when the jobs were last checked for whether they can still end in time.
 	hopelessAt time.Time
 	// reservations counts the calls for whose results space was reserved.
@@ -109,8 +110,9 @@
 	}
 	now := time.Now()
 	kinds := c.kindsOf(p)
-	c.recordDemand(p, c.classOf(p), kinds, now)
-	a, err := c.decide(p, kinds, now)
+	class := c.classOf(p, now)
+	c.recordDemand(p, class, kinds, now)
+	a, err := c.decide(p, class, kinds, now)
 	if err != nil {
 		return nil, err
 	}
@@ -119,11 +121,12 @@
 	}
 	j := newJob(p, c.typicalTime)
 	j.admittedAt, j.expected, j.class, j.kinds, j.density = now, a.expected, a.class, kinds, c.density(p)
-	if a.class != c.classOf(p) {
+	if a.class != class {
 		// The plan is admitted for the floor of its priority.
 		c.recordUse(j, now)
 	}
 	j.typicalDuration = c.typicalDuration(j)
+	c.recordTeamUse(j, 1, now)
 	c.jobs[j] = true
 	c.countUpcoming(j, 1)
 	if mayBeHeld(a.class) && !j.isComplete() {
@@ -186,6 +189,9 @@
 	j.ended, j.err = true, err
 	delete(c.jobs, j)
 	c.unhold(j)
+	if !j.begun {
+		c.recordTeamUse(j, -1, time.Now())
+	}
 	c.countUpcoming(j, -1)
 	for item := range j.items {
 		delete(c.owners, item)
@@ -200,7 +206,7 @@
 			}
 		}
 	}
-	c.Metrics.RecordPlan(outcomeOf(err))
+	c.Metrics.RecordPlan(outcomeOf(err), priorityLabel(j.plan))
 	c.Log.Info("plan ended", "id", j.plan.CallID, "took_ms", time.Since(j.admittedAt).Milliseconds(), "expected_ms", j.expected.Milliseconds(),
 		"due_ms", j.plan.Due.Sub(j.admittedAt).Milliseconds(), "jobs", len(c.jobs), "error", radishlog.ErrorText(err))
 	close(j.done)
--- a/internal/radishstage/floor.go
+++ b/internal/radishstage/floor.go
@@ -46,6 +46,7 @@
 		}
 	}
 	c.floors.Ask(kinds, now)
+	c.shares.Ask(p.Urgency.Team, now)
 }
 
 // recordUse records, once, that the job gets its part of the capacity.
@@ -61,6 +62,13 @@
 	}
 }
 
+// recordTeamUse records, times sign, that the job's team gets the time of targets that the job takes.
+func (c *Coordinator) recordTeamUse(j *job, sign time.Duration, now time.Time) {
+	if j.plan.Urgency != nil {
+		c.shares.Record(j.plan.Urgency.Team, sign*c.targetTime(j.plan), now)
+	}
+}
+
 // isBelowFloor reports whether plans of the kind got less than their floor at all services of the plan.
 func (c *Coordinator) isBelowFloor(p *Plan, k radishadmission.Kind, now time.Time) bool {
 	for _, s := range p.Stages {
@@ -77,6 +85,19 @@
 	return true
 }
 
+// maxKept is the number of plans, among those that could give way to another one, that are passed over for the floors of their kinds.
+const maxKept = 16
+
+// keepsFloor reports whether the job's team, size or data centre got less than its floor. The job then gives way only if no other can.
+func (c *Coordinator) keepsFloor(j *job, now time.Time) bool {
+	for _, k := range j.kinds[1:] {
+		if c.isBelowFloor(j.plan, k, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // maxRaises is the number of held jobs of each class that are considered for the floor of their priority in one round of dispatch.
 const maxRaises = 4
 
--- a/internal/radishstage/priority.go
+++ b/internal/radishstage/priority.go
@@ -9,8 +9,11 @@
 )
 
 // classOf returns the class of the pieces of a plan that is admitted now.
-func (c *Coordinator) classOf(p *Plan) int {
-	return radishadmission.ClassOf(p.Urgency, radishadmission.UnderShare)
+func (c *Coordinator) classOf(p *Plan, now time.Time) int {
+	if p.Urgency == nil {
+		return radishbatch.FirstClass
+	}
+	return radishadmission.ClassOf(p.Urgency, c.shares.Use(p.Urgency.Team, now).Standing)
 }
 
 // setClass changes the class of the job's pieces.
@@ -67,17 +70,31 @@
 		return
 	}
 	c.recordShortage(p, now)
-	for _, j := range c.candidates(class, excess) {
-		if !j.relieves(excess) {
+	candidates := c.candidates(class, excess)
+	kept := c.giveWayFor(p, candidates, excess, now, func(j *job) bool { return c.keepsFloor(j, now) })
+	c.giveWayFor(p, kept, excess, now, func(*job) bool { return false })
+}
+
+// giveWayFor ends candidates for the plan until no service has excess work, and returns those that it passed over.
+func (c *Coordinator) giveWayFor(
+	p *Plan, candidates []*job, list map[string]*excess, now time.Time, isKept func(*job) bool,
+) (kept []*job) {
+	for _, j := range candidates {
+		if !j.relieves(list) {
+			continue
+		}
+		if len(kept) < maxKept && isKept(j) {
+			kept = append(kept, j)
 			continue
 		}
 		for _, s := range j.plan.Stages {
-			if e := excess[s.Service]; e != nil {
+			if e := list[s.Service]; e != nil {
 				e.pieces -= s.Pieces
 			}
 		}
 		c.giveWay(j, p, now)
 	}
+	return kept
 }
 
 // excess is the work at a service that must give way.
@@ -143,8 +160,11 @@
 
 // giveWay ends a job that has not begun in favour of the plan.
 func (c *Coordinator) giveWay(j *job, p *Plan, now time.Time) {
-	c.Log.Info("plan gives way", "id", j.plan.CallID, "priority", j.plan.Urgency.Priority, "team", j.plan.Urgency.Team,
-		"to", p.CallID, "to_priority", p.Urgency.Priority, "to_team", p.Urgency.Team, "waited_ms", now.Sub(j.admittedAt).Milliseconds())
+	fields := []any{
+		"id", j.plan.CallID, "to", p.CallID, "to_priority", p.Urgency.Priority, "to_team", p.Urgency.Team,
+		"waited_ms", now.Sub(j.admittedAt).Milliseconds(),
+	}
+	c.Log.Info("plan gives way", append(fields, c.urgencyFields(j.plan)...)...)
 	c.endJob(j, &RefusedError{RetryAfter: max(minRetryAfter, j.expected), Reason: "more urgent plans need the capacity"})
 }
 
