Spread the return of refused callers in order of urgency

Callers that were refused together returned in any order, so that less urgent ones could find the capacity first. The time until urgent plans find capacity counted work that gives way to them.

The window within which refused callers return is divided among the priorities that compete at the stages of the route, the most urgent first. The estimate for plans with a priority counts only work that they wait for.

TestRefusedCallersReturnInOrderOfUrgency failed without the division.

--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -241,7 +241,7 @@
 	retryAfter := jitter(noCapacityRetryAfter)
 	var refused *radishstage.RefusedError
 	if errors.As(err, &refused) {
-		retryAfter = stageRetryAfter(refused.RetryAfter, time.Until(e.deadline))
+		retryAfter = e.stageRetryAfter(refused.RetryAfter)
 	}
 	if e.possibleExecutions > 0 {
 		e.refuse(radish.Refusal{Kind: radish.RefusalTargetFailed, Reason: err.Error()})
@@ -250,6 +250,17 @@
 	e.refuse(radish.Refusal{Kind: radish.RefusalNotExecuted, RetryAfter: retryAfter, Reason: err.Error()})
 }
 
+// stageRetryAfter returns when the caller should retry stages that are expected to be full for busyFor. If priorities compete, callers return
+// in the order of urgency.
+func (e *exchange) stageRetryAfter(busyFor time.Duration) time.Duration {
+	remaining := time.Until(e.deadline)
+	rank, ranks := e.cfg.StageRank(e.route, e.route.PriorityOf(e.team))
+	if ranks <= 1 {
+		return stageRetryAfter(busyFor, remaining)
+	}
+	return radishadmission.Retry{BusyFor: busyFor, Remaining: remaining, Rank: rank, Ranks: ranks}.After(rand.Float64())
+}
+
 // A refused caller retries once, within retryWindowShare of its remaining time. If the overload persists at the
 // retry, the call is lost, so retries are spread over the later part of that window, from the fraction
 // retryWindowStart on.
--- a/internal/radishrelay/stage_test.go
+++ b/internal/radishrelay/stage_test.go
@@ -239,3 +239,29 @@
 		})
 	}
 }
+
+// TestRefusedCallersReturnInOrderOfUrgency refuses calls of two priorities at the same time. All callers with the more urgent one return before
+// the others, and all within a third of the time that they have left.
+func TestRefusedCallersReturnInOrderOfUrgency(t *testing.T) {
+	retryAfter := func(t *testing.T, priority int) time.Duration {
+		t.Helper()
+		route := routeWithStages()
+		route.Priority, route.Timeout = priority, 6*time.Second
+		relay, _ := newRelay(route)
+		other := &radishroute.Route{Priority: 2 - priority, Stages: []radishroute.Stage{{Service: "rank"}}}
+		relay.Config().Routes = append(relay.Config().Routes, other)
+		relay.Config().BuildIndex()
+		relay.Stages = &fakeStages{err: &radishstage.RefusedError{RetryAfter: 500 * time.Millisecond}, freed: make(chan []string, 1)}
+		call := newCall()
+		call.Pieces, call.Timeout = []int{1, 1}, 6*time.Second
+		return handle(t.Context(), relay, call).refusal.RetryAfter
+	}
+	synctest.Test(t, func(t *testing.T) {
+		for range 50 {
+			urgent, low := retryAfter(t, 0), retryAfter(t, 2)
+			if urgent >= low || low > 2*time.Second || urgent < 500*time.Millisecond {
+				t.Fatalf("the urgent caller returns after %v, the other one after %v", urgent, low)
+			}
+		}
+	})
+}
--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -60,6 +60,10 @@
 	if delaysOthers {
 		reason += ", others would be late"
 	}
+	if p.Urgency != nil {
+		// Work of later classes gives way when the caller returns.
+		behindAll = c.serviceBacklogs(p, radishbatch.FirstClass, class, now)
+	}
 	last, _ := radishbatch.EstimateDuration(behindAll, radishbatch.DueLast(needs))
 	return admission{}, c.refuse(p, &RefusedError{RetryAfter: max(minRetryAfter, last-unloaded), Reason: reason}, expected)
 }
--- a/pkg/radishroute/config.go
+++ b/pkg/radishroute/config.go
@@ -1,6 +1,7 @@
 package radishroute
 
 import (
+	"maps"
 	"strings"
 	"time"
 )
@@ -180,6 +181,20 @@
 	}
 }
 
+// StageRank returns the place of the priority, from 0 on, among those of the calls that use a stage service of the route, and their number.
+func (c *Config) StageRank(r *Route, priority int) (rank, ranks int) {
+	priorities := make(map[int]bool)
+	for _, s := range r.Stages {
+		maps.Copy(priorities, c.stagePriorities[s.Service])
+	}
+	for p := range priorities {
+		if p < priority {
+			rank++
+		}
+	}
+	return rank, len(priorities)
+}
+
 // HasCompetingStages reports whether calls of different priority use a stage service of the route.
 func (c *Config) HasCompetingStages(r *Route) bool {
 	for _, s := range r.Stages {
