--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"math"
+	"strconv"
 	"time"
 
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishbatch"
 	"radishramp.example/radishramp/pkg/radishroute"
 )
@@ -22,29 +25,94 @@
 	plannedThroughput = 0.85
 )
 
-// expectedTime returns the estimated time of the plan behind the work that was admitted before, or the error with which the
-// plan is refused. A plan that cannot finish in time is admitted only while queues are short, so that it does not make
-// others late.
-func (c *Coordinator) expectedTime(p *Plan, now time.Time) (time.Duration, error) {
-	backlogs, needs := c.serviceBacklogs(p, now), p.stageNeeds(p.dueTimes(c.typicalTime), now)
-	expected, ok := radishbatch.EstimateDuration(backlogs, needs)
+// admission is the decision to admit a plan.
+type admission struct {
+	// class is the class of the plan's pieces.
+	class int
+	// expected is the estimated time of the plan.
+	expected time.Duration
+	// needsRoom is whether the plan can be in time only if work of later classes gives way.
+	needsRoom bool
+}
+
+// decide returns the decision to admit the plan, with the estimated time behind the work that was admitted before, or the error with which
+// the plan is refused. A plan that cannot finish in time is admitted only while queues are short, so that it does not make others late.
+func (c *Coordinator) decide(p *Plan, class int, kinds []radishadmission.Kind, now time.Time) (admission, error) {
+	needs := p.stageNeeds(p.dueTimes(c.typicalTime), now)
+	behindAll := c.serviceBacklogs(p, radishbatch.FirstClass, radishbatch.LastClass, now)
+	expected, ok := radishbatch.EstimateDuration(behindAll, needs)
+	expected = max(expected, c.besideArrivals(p, class, radishbatch.LastClass, needs, now))
 	if !ok {
-		return 0, c.refuse(p, &RefusedError{RetryAfter: c.untilResumed(p, now), Reason: "a stage has no target"}, 0)
+		return admission{}, c.refuse(p, &RefusedError{RetryAfter: c.untilResumed(p, now), Reason: "a stage has no target"}, 0)
 	}
-	delaysOthers := radishbatch.DelaysOthers(backlogs, needs)
-	unloaded, _ := radishbatch.EstimateDuration(radishbatch.Unloaded(backlogs), needs)
-	isInTime := !now.Add(time.Duration(inTimeMargin * float64(expected))).After(p.Due)
+	delaysOthers := radishbatch.DelaysOthers(behindAll, needs)
+	unloaded, _ := radishbatch.EstimateDuration(radishbatch.Unloaded(behindAll), needs)
 	isQueueShort := expected-unloaded <= lateAdmissionMaxWait && expected < p.Deadline.Sub(now)
-	if !delaysOthers && (isInTime || isQueueShort) {
-		return expected, nil
+	if !delaysOthers && (p.isInTime(expected, now) || isQueueShort) {
+		return admission{class: class, expected: expected}, nil
+	}
+	if a, ok := c.decideByClass(p, class, kinds, needs, now); ok {
+		return a, nil
 	}
+	c.recordShortage(p, now)
 	reason := fmt.Sprintf("stages need %v, %v are left to be in time", expected.Round(time.Millisecond),
 		p.Due.Sub(now).Round(time.Millisecond))
 	if delaysOthers {
 		reason += ", others would be late"
 	}
-	behindAll, _ := radishbatch.EstimateDuration(backlogs, radishbatch.DueLast(needs))
-	return 0, c.refuse(p, &RefusedError{RetryAfter: max(minRetryAfter, behindAll-unloaded), Reason: reason}, expected)
+	if p.Urgency != nil {
+		// Work of later classes gives way when the caller returns.
+		behindAll = c.serviceBacklogs(p, radishbatch.FirstClass, class, now)
+	}
+	last, _ := radishbatch.EstimateDuration(behindAll, radishbatch.DueLast(needs))
+	return admission{}, c.refuse(p, &RefusedError{RetryAfter: max(minRetryAfter, last-unloaded), Reason: reason}, expected)
+}
+
+// decideByClass decides about a plan that is in time only if work of later classes gives way. Plans of a priority that got less than its
+// floor are in the most urgent class.
+func (c *Coordinator) decideByClass(
+	p *Plan, class int, kinds []radishadmission.Kind, needs []radishbatch.StageWork, now time.Time,
+) (a admission, ok bool) {
+	if p.Urgency == nil {
+		return admission{}, false
+	}
+	if expected, ok := c.fitsBefore(p, class, needs, now); ok {
+		return admission{class: class, expected: expected, needsRoom: true}, true
+	}
+	if !mayBeHeld(class) || !c.isBelowFloor(p, kinds[0], now) {
+		return admission{}, false
+	}
+	class = radishbatch.FirstClass + 1
+	expected, ok := c.fitsBefore(p, class, needs, now)
+	return admission{class: class, expected: expected, needsRoom: true}, ok
+}
+
+// fitsBefore reports whether the plan is in time, and makes no other late, if it waits only for work of the classes up to its own.
+func (c *Coordinator) fitsBefore(p *Plan, class int, needs []radishbatch.StageWork, now time.Time) (expected time.Duration, ok bool) {
+	backlogs := c.serviceBacklogs(p, radishbatch.FirstClass, class, now)
+	expected, _ = radishbatch.EstimateDuration(backlogs, needs)
+	expected = max(expected, c.besideArrivals(p, class, class, needs, now))
+	return expected, p.isInTime(expected, now) && !radishbatch.DelaysOthers(backlogs, needs)
+}
+
+// besideArrivals returns the estimated time of the plan if the plans of earlier classes take the capacity that they are expected to ask for,
+// and the waiting work of the plan's class up to the given one shares the rest.
+func (c *Coordinator) besideArrivals(p *Plan, class, through int, needs []radishbatch.StageWork, now time.Time) time.Duration {
+	if !mayBeHeld(class) {
+		return 0
+	}
+	backlogs := c.serviceBacklogs(p, class, through, now)
+	for service, b := range backlogs {
+		b.PiecesPerSecond *= c.arrivals.LeftShare(service, class, b.PiecesPerSecond/plannedThroughput, now)
+		backlogs[service] = b
+	}
+	expected, _ := radishbatch.EstimateDuration(backlogs, needs)
+	return expected
+}
+
+// isInTime reports whether the plan is in time if it takes the expected time.
+func (p *Plan) isInTime(expected time.Duration, now time.Time) bool {
+	return !now.Add(time.Duration(inTimeMargin * float64(expected))).After(p.Due)
 }
 
 // noTargetRetryAfter is the time after which a plan may be retried for which a stage has no target.
@@ -71,14 +139,38 @@
 	for service, q := range c.queues {
 		waiting[service] = q.Len()
 	}
-	c.Metrics.RecordPlan("refused")
-	c.Log.Info("plan refused", "id", p.CallID, "reason", err.Reason, "expected_ms", expected.Milliseconds(), "jobs", len(c.jobs),
-		"waiting", waiting, "retry_after_ms", err.RetryAfter.Milliseconds())
+	c.Metrics.RecordPlan("refused", priorityLabel(p))
+	fields := []any{
+		"id", p.CallID, "reason", err.Reason, "expected_ms", expected.Milliseconds(), "jobs", len(c.jobs), "waiting", waiting,
+		"retry_after_ms", err.RetryAfter.Milliseconds(),
+	}
+	c.Log.Info("plan refused", append(fields, c.urgencyFields(p)...)...)
 	return err
 }
 
-// serviceBacklogs returns the demand on and the capacity of each service that the plan uses.
-func (c *Coordinator) serviceBacklogs(p *Plan, now time.Time) map[string]radishbatch.Backlog {
+// urgencyFields returns the log fields for the plan's urgency and its team's use of the capacity.
+func (c *Coordinator) urgencyFields(p *Plan) []any {
+	if p.Urgency == nil {
+		return nil
+	}
+	use := c.shares.Use(p.Urgency.Team, time.Now())
+	return []any{
+		"priority", p.Urgency.Priority, "team", p.Urgency.Team, "team_share", round2(use.Share), "fair_share", round2(use.FairShare),
+		"held", len(c.heldJobs),
+	}
+}
+
+func round2(x float64) float64 { return math.Round(100*x) / 100 }
+
+func priorityLabel(p *Plan) string {
+	if p.Urgency == nil {
+		return ""
+	}
+	return strconv.Itoa(p.Urgency.Priority)
+}
+
+// serviceBacklogs returns, for each service that the plan uses, the demand of the given classes and the capacity.
+func (c *Coordinator) serviceBacklogs(p *Plan, from, through int, now time.Time) map[string]radishbatch.Backlog {
 	backlogs := make(map[string]radishbatch.Backlog)
 	for _, s := range p.Stages {
 		if _, ok := backlogs[s.Service]; ok || s.Pieces == 0 {
@@ -89,32 +181,70 @@
 			continue
 		}
 		backlog := radishbatch.Backlog{TypicalBatchTime: typicalCallTime(batch)}
-		if upcoming := c.upcoming[s.Service]; upcoming != nil {
-			upcoming.AddTo(&backlog.Demand, now)
-		}
+		addCounts(&backlog, c.upcoming[s.Service], from, through, now)
+		addCounts(&backlog, c.held[s.Service], from, through, now)
 		if q := c.queues[s.Service]; q != nil {
-			q.AddToDemand(&backlog.Demand, now)
+			q.AddClassesToDemand(&backlog.Demand, from, through, now)
+			backlog.ResultBytes += q.ResultBytes(from, through)
+		}
+		if p.Urgency != nil {
+			c.addCapacityAndSpace(&backlog, s.Service, s.ResultBytes, batch, now)
+		} else {
+			c.addCapacity(&backlog, s.Service, s.ResultBytes, batch, now)
 		}
-		c.addCapacity(&backlog, s, batch, now)
 		backlogs[s.Service] = backlog
 	}
 	return backlogs
 }
 
+// addCounts adds the counted pieces of the classes and the size of their results to the backlog.
+func addCounts(backlog *radishbatch.Backlog, counts *radishbatch.ClassCounts, from, through int, now time.Time) {
+	if counts != nil {
+		counts.AddTo(&backlog.Demand, from, through, now)
+		backlog.ResultBytes += counts.ResultBytes(from, through)
+	}
+}
+
+// addCapacityAndSpace adds the throughput of the service's usable targets, the space that is free at them for results of the given size, and
+// the rate at which they give it back. Space is counted apart from time, since the results of different plans differ in size.
+func (c *Coordinator) addCapacityAndSpace(
+	backlog *radishbatch.Backlog, service string, resultBytes int64, batch *radishroute.BatchSettings, now time.Time,
+) {
+	c.addCapacity(backlog, service, 0, batch, now)
+	if batch.ResultMemoryBytes <= 0 {
+		return
+	}
+	fullCallTime := batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
+	kept := (fullCallTime + c.byteRetention(service)).Seconds()
+	for _, t := range c.usableTargets(service, now) {
+		state := c.stateOf(t)
+		backlog.FreeBytes += usableBytes(state.space.FreeBytes(batch.ResultMemoryBytes, now), resultBytes)
+		backlog.BytesPerSecond += float64(usableBytes(state.space.PlannedBytes(batch.ResultMemoryBytes, now), resultBytes)) / kept
+	}
+}
+
+// usableBytes returns the part of the space at a target that whole results of the given size can take.
+func usableBytes(space, resultBytes int64) int64 {
+	space = max(0, space)
+	return space - space%max(1, resultBytes)
+}
+
 // addCapacity adds the throughput of the stage's usable targets, which is limited by call time or by space for results.
-func (c *Coordinator) addCapacity(backlog *radishbatch.Backlog, s Stage, batch *radishroute.BatchSettings, now time.Time) {
+func (c *Coordinator) addCapacity(
+	backlog *radishbatch.Backlog, service string, resultBytes int64, batch *radishroute.BatchSettings, now time.Time,
+) {
 	fullCallTime := batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
 	timeLimit := float64(batch.MaxPieces) / fullCallTime.Seconds()
-	for _, t := range c.usableTargets(s.Service, now) {
+	for _, t := range c.usableTargets(service, now) {
 		state := c.stateOf(t)
 		backlog.Targets++
 		if state.activeCalls >= batch.Slots {
 			backlog.BusyTargets++
 		}
 		perSecond := timeLimit
-		if s.ResultBytes > 0 {
-			results := state.space.AvailableShare(batch.ResultMemoryBytes, now) * float64(batch.ResultMemoryBytes) / float64(s.ResultBytes)
-			perSecond = min(perSecond, results/(fullCallTime+c.expectedRetention(s.Service)).Seconds())
+		if resultBytes > 0 {
+			results := state.space.AvailableShare(batch.ResultMemoryBytes, now) * float64(batch.ResultMemoryBytes) / float64(resultBytes)
+			perSecond = min(perSecond, results/(fullCallTime+c.expectedRetention(service)).Seconds())
 		}
 		backlog.PiecesPerSecond += plannedThroughput * perSecond / max(1, state.slowness)
 	}
@@ -127,12 +257,16 @@
 		if j.stages[i].queued || stage.Pieces == 0 {
 			continue
 		}
-		counts := c.upcoming[stage.Service]
+		upcoming := c.upcoming
+		if j.isHeld {
+			upcoming = c.held
+		}
+		counts := upcoming[stage.Service]
 		if counts == nil {
-			counts = &radishbatch.DueCounts{}
-			c.upcoming[stage.Service] = counts
+			counts = &radishbatch.ClassCounts{}
+			upcoming[stage.Service] = counts
 		}
-		counts.Add(sign*stage.Pieces, j.dueTimes[i])
+		counts.Add(sign*stage.Pieces, stage.ResultBytes, j.dueTimes[i], j.class)
 	}
 }
 
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -12,6 +12,7 @@
 	"radishramp.example/radishramp/internal/radishlog"
 	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishbatch"
 	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishroute"
@@ -45,14 +46,28 @@
 	jobs    map[*job]bool
 	owners  map[*radishbatch.Item]*job
 	queues  map[string]*radishbatch.Queue
-	// upcoming counts, by service, the pieces of admitted plans that are not queued yet.
-	upcoming map[string]*radishbatch.DueCounts
+	// upcoming counts, by service, the pieces of admitted plans that are not queued yet, apart from those of held jobs.
+	upcoming map[string]*radishbatch.ClassCounts
+	// heldJobs are the jobs that are not queued yet although their inputs are complete; held counts their pieces by service.
+	heldJobs     map[*job]bool
+	heldQueuedAt time.Time
+	held         map[string]*radishbatch.ClassCounts
+	arrivals     radishadmission.Arrivals
+	floors       radishadmission.Floors
+	shares       radishadmission.Shares
+	// hopelessAt is when the jobs were last checked for whether they can still end in time.
+	hopelessAt time.Time
+	// reservations counts the calls for whose results space was reserved.
+	reservations uint64
+	// shortAt is when a plan last found too little capacity, by service.
+	shortAt map[string]time.Time
 	// usable caches the usable targets by service.
 	usable map[string]usableTargets
 	// targets is by address.
 	targets map[string]*targetState
 	// retention is, by service, the moving average of the time for which a target stores a result.
-	retention map[string]time.Duration
+	retention      map[string]time.Duration
+	byteRetentions map[string]byteRetention
 	// contendedAt is when calls last showed that another VM's coordinator uses the same targets.
 	contendedAt  time.Time
 	recheckTimer *time.Timer
@@ -94,15 +109,31 @@
 		return nil, ErrMoved
 	}
 	now := time.Now()
-	expected, err := c.expectedTime(p, now)
+	kinds := c.kindsOf(p)
+	class := c.classOf(p, now)
+	c.recordDemand(p, class, kinds, now)
+	a, err := c.decide(p, class, kinds, now)
 	if err != nil {
 		return nil, err
 	}
+	if a.needsRoom {
+		c.makeRoom(p, a.class, now)
+	}
 	j := newJob(p, c.typicalTime)
-	j.admittedAt, j.expected = now, expected
+	j.admittedAt, j.expected, j.class, j.kinds, j.density = now, a.expected, a.class, kinds, c.density(p)
+	if a.class != class {
+		// The plan is admitted for the floor of its priority.
+		c.recordUse(j, now)
+	}
+	j.typicalDuration = c.typicalDuration(j)
+	c.recordTeamUse(j, 1, now)
 	c.jobs[j] = true
 	c.countUpcoming(j, 1)
-	c.advance(j)
+	if mayBeHeld(a.class) && !j.isComplete() {
+		c.hold(j)
+	} else {
+		c.advance(j)
+	}
 	c.dispatch(now)
 	return j, nil
 }
@@ -114,10 +145,14 @@
 	c.jobs = make(map[*job]bool)
 	c.owners = make(map[*radishbatch.Item]*job)
 	c.queues = make(map[string]*radishbatch.Queue)
-	c.upcoming = make(map[string]*radishbatch.DueCounts)
+	c.upcoming = make(map[string]*radishbatch.ClassCounts)
+	c.heldJobs = make(map[*job]bool)
+	c.held = make(map[string]*radishbatch.ClassCounts)
+	c.shortAt = make(map[string]time.Time)
 	c.usable = make(map[string]usableTargets)
 	c.targets = make(map[string]*targetState)
 	c.retention = make(map[string]time.Duration)
+	c.byteRetentions = make(map[string]byteRetention)
 }
 
 // advance queues the stages of the job whose inputs are complete, and ends the job once all stages are.
@@ -153,6 +188,10 @@
 	}
 	j.ended, j.err = true, err
 	delete(c.jobs, j)
+	c.unhold(j)
+	if !j.begun {
+		c.recordTeamUse(j, -1, time.Now())
+	}
 	c.countUpcoming(j, -1)
 	for item := range j.items {
 		delete(c.owners, item)
@@ -167,16 +206,21 @@
 			}
 		}
 	}
-	c.Metrics.RecordPlan(outcomeOf(err))
+	c.Metrics.RecordPlan(outcomeOf(err), priorityLabel(j.plan))
 	c.Log.Info("plan ended", "id", j.plan.CallID, "took_ms", time.Since(j.admittedAt).Milliseconds(), "expected_ms", j.expected.Milliseconds(),
 		"due_ms", j.plan.Due.Sub(j.admittedAt).Milliseconds(), "jobs", len(c.jobs), "error", radishlog.ErrorText(err))
 	close(j.done)
 }
 
 func outcomeOf(err error) string {
+	var refused *RefusedError
 	switch {
 	case err == nil:
 		return "made"
+	case errors.As(err, &refused):
+		return "gave_way"
+	case errors.Is(err, errHopeless):
+		return "hopeless"
 	case errors.Is(err, ErrFailed):
 		return "failed"
 	case errors.Is(err, ErrMoved):
@@ -237,7 +281,9 @@
 
 func (c *Coordinator) dispatchRound(now time.Time) {
 	c.dispatchedAt = now
-	waiting := 0
+	c.dropHopeless(now)
+	c.queueHeld(now)
+	waiting := len(c.heldJobs)
 	for service, q := range c.queues {
 		if q.Len() == 0 {
 			continue
--- a/internal/radishstage/job.go
+++ b/internal/radishstage/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"radishramp.example/radishramp/pkg/radish"
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishbatch"
 )
 
@@ -20,7 +21,19 @@
 	// admittedAt is when the plan was admitted, expected the time that it was estimated to take then.
 	admittedAt time.Time
 	expected   time.Duration
-	recomputes int
+	// class is the class of the job's pieces, density the value of the plan for each second of a target's time.
+	class   int
+	density float64
+	// kinds are the groups of plans that the job belongs to, each of which keeps a floor of the capacity.
+	kinds         []radishadmission.Kind
+	isUseRecorded bool
+	// begun is whether a piece of the job has been part of a call.
+	begun bool
+	// isHeld is whether the job waits for capacity before its first pieces are queued.
+	isHeld bool
+	// typicalDuration is the typical time of all stages if nothing else is queued.
+	typicalDuration time.Duration
+	recomputes      int
 	// retainsInputs is set once a target had no space for the result of a piece. From then on the inputs of a stage are
 	// released only when the stage is complete.
 	retainsInputs bool
@@ -39,6 +52,8 @@
 	released bool
 	// started holds the numbers of the pieces that calls execute or have completed.
 	started map[int]bool
+	// runsUntil is the latest expected end of the first calls with its pieces.
+	runsUntil time.Time
 	// expires is when the first of the results expires.
 	expires time.Time
 }
@@ -98,7 +113,8 @@
 		}
 		item := &radishbatch.Item{
 			Piece: piece, Due: j.dueTimes[i], Deadline: j.plan.Deadline, InputsExpireAt: expires, ResultBytes: stage.ResultBytes,
-			PreferredDataCentre: j.dataCentre, IsDataHeavy: j.isDataHeavy(i), Worth: j.plan.Worth, QueuedAt: now,
+			PreferredDataCentre: j.dataCentre, IsDataHeavy: j.isDataHeavy(i), Worth: j.plan.Worth, Class: j.class,
+			HasBegun: j.begun && j.plan.Urgency != nil, QueuedAt: now,
 		}
 		items = append(items, item)
 		j.items[item] = true
--- a/internal/radishstage/plan.go
+++ b/internal/radishstage/plan.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"radishramp.example/radishramp/pkg/radishadmission"
 	"radishramp.example/radishramp/pkg/radishbatch"
 )
 
@@ -23,6 +24,8 @@
 	Near string
 	// Worth orders late requests: pieces of those with the highest worth go first.
 	Worth float64
+	// Urgency decides which plans run, wait or are refused if there is too little capacity; nil if due times alone do.
+	Urgency *radishadmission.Urgency
 }
 
 // Stage is one stage of a plan.
@@ -59,7 +62,7 @@
 func (p *Plan) stageNeeds(dueTimes []time.Time, now time.Time) []radishbatch.StageWork {
 	needs := make([]radishbatch.StageWork, len(p.Stages))
 	for i, s := range p.Stages {
-		needs[i] = radishbatch.StageWork{Service: s.Service, DependsOn: s.After, Pieces: s.Pieces, DueIn: max(0, dueTimes[i].Sub(now))}
+		needs[i] = radishbatch.StageWork{Service: s.Service, DependsOn: s.After, Pieces: s.Pieces, ResultBytes: s.ResultBytes, DueIn: max(0, dueTimes[i].Sub(now))}
 	}
 	return needs
 }
