Choose targets of plain calls by expected time where speeds differ

Cause: the target with the least load in calls is chosen, whatever its speed, and all VMs that read the same report choose the same one. Change: VMs learn the time of work at each target, relative to its service, and read the momentary figure of each response with a load report, also those of stages. The expected time is the learned one, times the momentary figure, times the queue; a report counts less with its age and nothing after 0.5 s. The best of three random targets is chosen, drawn by capacity. In force where targets report the momentary figure or the learned speeds differ by more than a quarter. Log fields of `attempt ended`: uneven, slowness, pace, pace_age_ms, expected. TestChoicesOfEvenTargetsStay finds no other choice in 20,000 calls to even targets.

--- a/internal/radishrelay/attempt.go
+++ b/internal/radishrelay/attempt.go
@@ -38,7 +38,8 @@
 	e.relay.Log.Info("attempt ended", "id", e.call.ID, "target", t.Name, "data_centre", t.DataCentre, "verdict", attemptLabel(d, outcome),
 		"status", statusOf(resp), "took_ms", time.Since(startedAt).Milliseconds(), "left_ms", req.Timeout.Milliseconds(),
 		"record_age_ms", snapshot.RecordAge.Milliseconds(), "busy", snapshot.CallsInFlight, "failure_share", snapshot.FailureRate,
-		"error_share", snapshot.ErrorRate,
+		"error_share", snapshot.ErrorRate, "uneven", snapshot.IsUneven, "slowness", snapshot.Slowness, "pace", snapshot.Pace,
+		"pace_age_ms", snapshot.PaceAge.Milliseconds(), "expected", snapshot.ExpectedCost,
 		"cold", snapshot.IsCold, "usable", snapshot.UsableTargets, "targets", snapshot.TotalTargets, "resume_after", req.ResumeAfter,
 		"input_bytes", inputBytesByDataCentre, "prompt", promptIDs(e.call.Prompt), "events", e.attemptEvents, "error", radishlog.ErrorText(err))
 	return d
@@ -114,9 +115,9 @@
 	e.possibleExecutions++
 	e.triedTargets[t.Name] = true
 	if resp.IsStream && resp.Status/100 == 2 {
-		return e.relayStream(ctx, resp)
+		return e.relayStream(ctx, t, resp)
 	}
-	return e.relayResponse(ctx, resp)
+	return e.relayResponse(ctx, t, resp)
 }
 
 // outcomeWithoutResponse returns what an attempt without a complete response indicates about the target's health. It
--- a/internal/radishrelay/exchange.go
+++ b/internal/radishrelay/exchange.go
@@ -41,6 +41,8 @@
 	isTrial bool
 	// attemptEvents is the number of events that the latest attempt has relayed.
 	attemptEvents int
+	// attemptFirstEventAt is when the latest attempt's first event arrived.
+	attemptFirstEventAt time.Time
 	// lastEventID is the ID of the last event relayed to the caller.
 	lastEventID     string
 	responseStarted bool
--- a/internal/radishrelay/response.go
+++ b/internal/radishrelay/response.go
@@ -12,12 +12,13 @@
 )
 
 // relayResponse relays a response that is not an event stream.
-func (e *exchange) relayResponse(ctx context.Context, resp *radish.TargetResponse) (decision, radishfleet.Outcome) {
+func (e *exchange) relayResponse(ctx context.Context, t radish.Target, resp *radish.TargetResponse) (decision, radishfleet.Outcome) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err != nil {
 		return decisionRetry, e.outcomeWithoutResponse(ctx, false)
 	}
 	isError := resp.Status >= 500
+	e.recordResponse(t, resp)
 	if e.responseStarted {
 		// A stream that is being resumed cannot end with a response of another type.
 		return decisionRetry, radishfleet.Outcome{Failed: isError}
--- a/internal/radishrelay/stream.go
+++ b/internal/radishrelay/stream.go
@@ -20,7 +20,7 @@
 
 // relayStream relays events as they arrive, each only once it is complete, so that a broken stream can be resumed on
 // another target.
-func (e *exchange) relayStream(ctx context.Context, resp *radish.TargetResponse) (decision, radishfleet.Outcome) {
+func (e *exchange) relayStream(ctx context.Context, t radish.Target, resp *radish.TargetResponse) (decision, radishfleet.Outcome) {
 	reader := bufio.NewReader(resp.Body)
 	// The length that this target announces does not cover events from another target that resumes the stream.
 	if e.route.IsResumable {
@@ -29,6 +29,7 @@
 	for {
 		event, id, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
+			e.recordStream(t)
 			return e.finishStream(resp)
 		}
 		if err != nil {
@@ -40,6 +41,7 @@
 			e.freeInputs()
 		}
 		e.recordEventGap()
+		e.recordFirstEvent(t, resp)
 		e.attemptEvents++
 		if e.attemptEvents == answeredEvents {
 			e.recordAnswer()
--- a/pkg/radish/target.go
+++ b/pkg/radish/target.go
@@ -41,6 +41,8 @@
 	Pause time.Duration
 	// InvalidPause is a time for a pause that was ignored or shortened; empty if there is none.
 	InvalidPause string
+	// Load is the load that the target reports.
+	Load TargetLoad
 }
 
 // TargetObserver learns what targets say about themselves.
--- a/pkg/radishengine/estimator.go
+++ b/pkg/radishengine/estimator.go
@@ -50,7 +50,7 @@
 		w = &window{}
 		e.services[service] = w
 	}
-	w.add(float64(took) / float64(referenceTime(promptTokens)))
+	w.add(float64(took) / float64(ReferenceTime(promptTokens)))
 }
 
 // Estimate returns the time that an engine of the service is likely to need until the first event for a prompt of the given
@@ -58,7 +58,7 @@
 func (e *Estimator) Estimate(service string, promptTokens int) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reference := referenceTime(promptTokens)
+	reference := ReferenceTime(promptTokens)
 	w := e.services[service]
 	if w == nil {
 		return reference
@@ -83,6 +83,7 @@
 	w.quantile = max(minRatio, ratios[int(estimateQuantile*float64(len(ratios)))])
 }
 
-func referenceTime(promptTokens int) time.Duration {
+// ReferenceTime returns the time that the reference engine needs until the first event for a prompt of the given number of tokens.
+func ReferenceTime(promptTokens int) time.Duration {
 	return baseOverhead + time.Duration(promptTokens/promptTokensPerMs)*time.Millisecond
 }
--- a/pkg/radishfleet/error_rate.go
+++ b/pkg/radishfleet/error_rate.go
@@ -35,6 +35,9 @@
 
 // at returns the rate as of now.
 func (e *errorRate) at(now time.Time) float64 {
+	if e.rate == 0 {
+		return 0
+	}
 	return e.rate * math.Exp2(-now.Sub(e.updatedAt).Seconds()/errorHalfLife.Seconds())
 }
 
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -1,6 +1,7 @@
 package radishfleet
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -42,6 +43,10 @@
 	// leaving holds, by name, the targets that announced in a response that they leave. It outlasts their records.
 	leaving         map[string]LeavingTarget
 	dataCentreLinks map[string]*dataCentreLink
+	// speeds holds, by service, what is known about the speeds of its targets.
+	speeds map[string]*serviceSpeeds
+	// rand draws random targets; nil means the process's random numbers.
+	rand *rand.Rand
 }
 
 // targetState is the VM's state of one target, from its record, its load reports and the outcomes of this VM's calls.
@@ -64,6 +69,11 @@
 	sentAfterPause int
 	ejectionPeriod time.Duration
 	ejectedUntil   time.Time
+	heard          heardReport
+	// speeds are the observed times by kind of work, relative to those of the service; slowness is the time of work relative to the
+	// mean of the service's targets, as of the latest comparison, and 0 before the first one.
+	speeds   [workKinds]decayedMean
+	slowness float64
 }
 
 // Set stores a target's record. It reports whether the record matters for routing: it is a new target, a restarted one,
@@ -110,6 +120,9 @@
 	service := s.target.Service
 	delete(f.assignments, service)
 	f.byService[service] = slices.DeleteFunc(f.byService[service], func(other *targetState) bool { return other == s })
+	if len(f.byService[service]) == 0 {
+		delete(f.speeds, service)
+	}
 }
 
 // claimAddress records the target as the newest at its address, unless another one there started no earlier.
@@ -151,6 +164,15 @@
 	// ErrorRate is the share of server errors among the target's recent responses.
 	ErrorRate float64
 	IsCold    bool
+	// IsUneven is whether calls to the service are sent by the expected times at its targets.
+	IsUneven bool
+	// Slowness is the time that work takes at the target relative to the mean of its service's targets, as learned.
+	Slowness float64
+	// Pace is the latest momentary figure that the target reported, 0 if there is none; PaceAge is the time since then.
+	Pace    float64
+	PaceAge time.Duration
+	// ExpectedCost is the expected time of another call at the target, in times of an average call without a queue.
+	ExpectedCost float64
 	// TotalTargets is the number of targets of the service; UsableTargets is the number of those that may take calls.
 	UsableTargets, TotalTargets int
 }
@@ -167,6 +189,7 @@
 		RecordAge: now.Sub(s.updatedAt), CallsInFlight: int(s.load(now)), FailureRate: s.decayedFailureRate(now),
 		ErrorRate: s.errorResponses.at(now), IsCold: now.Before(s.coldUntil),
 	}
+	f.addExpectation(&snapshot, s, now)
 	for _, other := range f.byService[s.target.Service] {
 		snapshot.TotalTargets++
 		if f.isAvailable(other, now) {
@@ -246,6 +269,9 @@
 	if q.AffinityKey != "" {
 		return f.pickByAffinity(q, candidates, now)
 	}
+	if f.isUneven(q.Service, now) {
+		return f.pickByTime(q, candidates, now)
+	}
 	var best *targetState
 	bestCost := 0.0
 	meanErrorRate := meanErrorRateOf(candidates, now)
--- a/pkg/radishfleet/notice.go
+++ b/pkg/radishfleet/notice.go
@@ -7,7 +7,7 @@
 )
 
 // Observe records what a target says about itself in a response and reports whether this changes whether it may be sent to. A target
-// without a name is the one that started last at the address.
+// without a name is the one that started last at the address. A report of its load alone changes nothing in this sense.
 func (f *Fleet) Observe(t radish.Target, n radish.TargetNotice, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -20,6 +20,9 @@
 	}
 	isNew := n.IsLeaving && f.recordLeaving(LeavingTarget{Name: t.Name, StartedUnixMilli: t.StartedUnixMilli, At: now}, now)
 	s := f.targets[t.Name]
+	if n.Load.Reported && s != nil && s.target.StartedUnixMilli == t.StartedUnixMilli {
+		f.hear(s, n.Load, now)
+	}
 	if n.Pause > 0 && s != nil && s.target.StartedUnixMilli == t.StartedUnixMilli && s.pause(now.Add(n.Pause)) {
 		isNew = true
 	}
