Bound the load of engines by work and speed where speeds differ

Cause: an engine of half the speed was assigned as many prompts as others, up to a bound in calls with a slack of six, and a long prompt counted like a short one. Change: where speeds differ, prompts are assigned by learned speed, in steps so that VMs agree. The load that is compared with the mean is the calls and the prompts that the engine has yet to read for this VM, times the learned and the momentary time. An unknown load counts as the mean. Beyond the bound the less loaded of the next two engines in the order of the prompt is chosen. Log field of `attempt ended`: unread_tokens.

--- a/internal/radishrelay/attempt.go
+++ b/internal/radishrelay/attempt.go
@@ -26,10 +26,12 @@
 		req.Priority = min(maxTargetPriority, e.route.PriorityOf(e.team))
 	}
 	e.attemptTimeout, e.attemptStartedAt, e.attemptEvents = req.Timeout, time.Now(), 0
+	e.attemptReadsPrompt = e.service.IsEngine
 	inputBytesByDataCentre := e.inputBytesByDataCentre()
 	resp, err := e.relay.Forwarder.Forward(ctx, req)
 	d, outcome := e.handleResponse(ctx, t, resp, err)
 	outcome.Load = loadOf(resp)
+	e.recordPromptRead(t)
 	if outcome.Cut {
 		outcome.Down = e.recordCutAttempt(t)
 	}
@@ -39,7 +41,7 @@
 		"status", statusOf(resp), "took_ms", time.Since(startedAt).Milliseconds(), "left_ms", req.Timeout.Milliseconds(),
 		"record_age_ms", snapshot.RecordAge.Milliseconds(), "busy", snapshot.CallsInFlight, "failure_share", snapshot.FailureRate,
 		"error_share", snapshot.ErrorRate, "uneven", snapshot.IsUneven, "slowness", snapshot.Slowness, "pace", snapshot.Pace,
-		"pace_age_ms", snapshot.PaceAge.Milliseconds(), "expected", snapshot.ExpectedCost,
+		"pace_age_ms", snapshot.PaceAge.Milliseconds(), "expected", snapshot.ExpectedCost, "unread_tokens", snapshot.UnreadTokens,
 		"cold", snapshot.IsCold, "usable", snapshot.UsableTargets, "targets", snapshot.TotalTargets, "resume_after", req.ResumeAfter,
 		"input_bytes", inputBytesByDataCentre, "prompt", promptIDs(e.call.Prompt), "events", e.attemptEvents, "error", radishlog.ErrorText(err))
 	return d
--- a/internal/radishrelay/exchange.go
+++ b/internal/radishrelay/exchange.go
@@ -43,6 +43,8 @@
 	attemptEvents int
 	// attemptFirstEventAt is when the latest attempt's first event arrived.
 	attemptFirstEventAt time.Time
+	// attemptReadsPrompt is whether the latest attempt's prompt counts as being read at its target.
+	attemptReadsPrompt bool
 	// lastEventID is the ID of the last event relayed to the caller.
 	lastEventID     string
 	responseStarted bool
--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -119,6 +119,7 @@
 	q := radishfleet.Query{Service: e.service.Name, Exclude: e.triedTargets, HasColdLimit: e.service.ColdCallsPerSec > 0}
 	if e.service.IsEngine {
 		q.AffinityKey, q.DataCentreWeights = sharedPromptPrefix(e.call.Prompt), e.affinityWeights
+		q.PromptTokens = e.call.InputTokens
 		if e.hasLargeInputs() && !e.isPromptCostlierThanInputs() {
 			q.PreferredDataCentre = e.inputDataCentre()
 		}
--- a/internal/radishrelay/timing.go
+++ b/internal/radishrelay/timing.go
@@ -27,6 +27,7 @@
 	}
 	now := time.Now()
 	e.attemptFirstEventAt = now
+	e.recordPromptRead(t)
 	e.relay.Fleet.RecordTiming(t.Name, radishfleet.Timing{
 		Kind: radishfleet.WorkPrompt, Class: e.route.Name, Took: now.Sub(e.attemptStartedAt),
 		Units: radishengine.ReferenceTime(e.call.InputTokens).Seconds(), Waiting: resp.Load.Waiting, Pace: resp.Load.Pace,
@@ -41,3 +42,11 @@
 		Kind: radishfleet.WorkDecode, Class: e.route.Name, Took: now.Sub(e.attemptFirstEventAt), Units: float64(e.attemptEvents - 1),
 	}, now)
 }
+
+// recordPromptRead reports, once for each attempt, that its target no longer reads the prompt.
+func (e *exchange) recordPromptRead(t radish.Target) {
+	if e.attemptReadsPrompt {
+		e.attemptReadsPrompt = false
+		e.relay.Fleet.PromptRead(t.Name, e.call.InputTokens)
+	}
+}
--- a/internal/radishrelay/timing_test.go
+++ b/internal/radishrelay/timing_test.go
@@ -55,3 +55,24 @@
 		})
 	}
 }
+
+// TestPromptsAreReadOnce ends attempts in each way: no prompt may count as being read after its call.
+func TestPromptsAreReadOnce(t *testing.T) {
+	for _, responders := range [][]responder{
+		{streamsEvents(3, false)}, {streamsEvents(2, true), streamsEvents(3, false)}, {respondsWith(500, "")}, {failsWith(errReset)},
+		{rejectsUnexecuted(503), streamsEvents(1, false)}, {failsWith(radish.ErrNotSent)}, {neverResponds},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			relay, _ := newRelay(&radishroute.Route{Name: "r", Kind: radishroute.KindStream, IsResumable: true, MaxAttempts: 3}, responders...)
+			relay.Config().Services["s"].IsEngine = true
+			call := newCall()
+			call.InputTokens, call.Prompt = 900, []radish.PromptPart{{ID: "p", Tokens: 900}}
+			handle(t.Context(), relay, call)
+			for i := range 5 {
+				if n := relay.Fleet.TargetSnapshot(fmt.Sprintf("t%d", i), time.Now()).UnreadTokens; n != 0 {
+					t.Errorf("%d tokens count as being read after the call", n)
+				}
+			}
+		})
+	}
+}
--- a/pkg/radishfleet/engine.go
+++ b/pkg/radishfleet/engine.go
@@ -34,6 +34,9 @@
 }
 
 func (f *Fleet) pickByHash(q Query, eligible, all []*targetState, now time.Time) *targetState {
+	if f.isUneven(q.Service, now) {
+		return f.pickByHashAndLoad(q, eligible, all, now)
+	}
 	total := 0.0
 	for _, s := range all {
 		total += s.load(now)
--- a/pkg/radishfleet/expectation.go
+++ b/pkg/radishfleet/expectation.go
@@ -51,6 +51,11 @@
 	return 1 - float64(max(0, age))/float64(reportTrust)
 }
 
+// paceAt returns the momentary figure drawn towards 1 by the report's age.
+func (r *heardReport) paceAt(now time.Time) float64 {
+	return 1 + r.weight(now)*(r.pace()-1)
+}
+
 // pace returns the momentary figure, 1 if the target reported none.
 func (r *heardReport) pace() float64 { return plausiblePace(r.load.Pace) }
 
@@ -149,7 +154,7 @@
 
 // addExpectation adds what the choice by expected time is based on.
 func (f *Fleet) addExpectation(snapshot *TargetSnapshot, s *targetState, now time.Time) {
-	snapshot.Slowness = s.relativeSlowness()
+	snapshot.Slowness, snapshot.UnreadTokens = s.relativeSlowness(), s.promptTokens
 	if s.heard.load.Pace > 0 {
 		snapshot.Pace, snapshot.PaceAge = s.heard.load.Pace, now.Sub(s.heard.at)
 	}
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -74,6 +74,10 @@
 	// mean of the service's targets, as of the latest comparison, and 0 before the first one.
 	speeds   [workKinds]decayedMean
 	slowness float64
+	// hashWeightSteps is the logarithm of the engine's weight in the assignment of prompts.
+	hashWeightSteps float64
+	// promptTokens counts the tokens of this VM's calls that the engine has not read yet.
+	promptTokens int
 }
 
 // Set stores a target's record. It reports whether the record matters for routing: it is a new target, a restarted one,
@@ -173,6 +177,8 @@
 	PaceAge time.Duration
 	// ExpectedCost is the expected time of another call at the target, in times of an average call without a queue.
 	ExpectedCost float64
+	// UnreadTokens is the number of prompt tokens of this VM's calls that the target has not read yet.
+	UnreadTokens int
 	// TotalTargets is the number of targets of the service; UsableTargets is the number of those that may take calls.
 	UsableTargets, TotalTargets int
 }
@@ -211,6 +217,8 @@
 	// DataCentreWeights are the weights of the data centres for calls with affinity; nil gives all engines the same
 	// weight.
 	DataCentreWeights map[string]float64
+	// PromptTokens is the number of tokens that the call's engine has to read, until PromptRead is called.
+	PromptTokens int
 	// HasColdLimit is whether cold targets of the service are limited to ColdQuota.
 	HasColdLimit bool
 }
@@ -228,6 +236,7 @@
 		return radish.Target{}, false
 	}
 	s.recordSend()
+	f.addPrompt(s, q.PromptTokens)
 	return s.target, true
 }
 
--- a/pkg/radishfleet/speed.go
+++ b/pkg/radishfleet/speed.go
@@ -82,9 +82,11 @@
 	// spent is the time that was spent on each kind of work, by which their speeds are weighted.
 	spent [workKinds]decayedMean
 	// meanCost is the moving average of the expected time at the targets that report their load, in times of an average call.
-	meanCost    float64
-	refreshedAt time.Time
-	unevenUntil time.Time
+	meanCost float64
+	// meanPromptTokens is the moving average of the tokens that a call's engine has to read.
+	meanPromptTokens float64
+	refreshedAt      time.Time
+	unevenUntil      time.Time
 }
 
 type timeClass struct {
@@ -170,6 +172,7 @@
 	}
 	for _, s := range targets {
 		s.slowness = min(maxSlowness, max(1.0/maxSlowness, s.slowness))
+		s.updateHashWeight()
 	}
 }
 
--- a/pkg/radishfleet/uneven_replay_test.go
+++ b/pkg/radishfleet/uneven_replay_test.go
@@ -1,6 +1,7 @@
 package radishfleet
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -26,11 +27,15 @@
 	reportDelay time.Duration
 	// ignoresSpeeds is whether VMs are told nothing of speeds, so that they choose as before.
 	ignoresSpeeds bool
+	seed          uint64
 	// affinityKeys is the number of prompts by which calls are sent to engines, 0 for plain calls; some are far more frequent.
 	affinityKeys int
 	duration     time.Duration
 }
 
+// replayCachedPrompts is the number of prompts that an engine keeps; the reading of another one takes as long as the rest of the call.
+const replayCachedPrompts = 16
+
 const replayCallTime = 100 * time.Millisecond
 
 // replayResult is what callers and targets saw after a third of the time, in which VMs learn.
@@ -39,11 +44,27 @@
 	// busiest is the largest share of calls that a target got, relative to the mean; slowShare is the share of calls that went to
 	// targets with more than the usual time.
 	busiest, slowShare float64
+	// kept is the share of calls at an engine that kept the prompt.
+	kept float64
 }
 
+type hitCount struct{ hits, calls float64 }
+
+func (h *hitCount) add(isHit, counts bool) {
+	if !counts {
+		return
+	}
+	h.calls++
+	if isHit {
+		h.hits++
+	}
+}
+
+func (h *hitCount) share() float64 { return h.hits / h.calls }
+
 func (r replayResult) String() string {
-	return fmt.Sprintf("p50 %v, p99 %v, busiest %.2f times the mean, slow ones %.3f of the calls",
-		r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.busiest, r.slowShare)
+	return fmt.Sprintf("p50 %v, p99 %v, busiest %.2f times the mean, slow ones %.3f of the calls, prompts kept %.3f",
+		r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.busiest, r.slowShare, r.kept)
 }
 
 type replayEvent struct {
@@ -68,11 +89,24 @@
 	running, waiting int
 	queue            []func(now time.Time)
 	calls            int
+	// prompts are those that the engine keeps, the latest last.
+	prompts []string
+}
+
+// read reports whether the engine keeps the prompt, and keeps it from now on.
+func (s *replayTarget) read(prompt string) (isKept bool) {
+	if at := slices.Index(s.prompts, prompt); at >= 0 {
+		s.prompts = slices.Delete(s.prompts, at, at+1)
+		isKept = true
+	}
+	s.prompts = append(s.prompts, prompt)
+	s.prompts = s.prompts[max(0, len(s.prompts)-replayCachedPrompts):]
+	return isKept
 }
 
 func (r unevenReplay) run(t *testing.T) replayResult {
 	t.Helper()
-	rnd := rand.New(rand.NewPCG(1, 2))
+	rnd := rand.New(rand.NewPCG(1, r.seed))
 	var events replayEvents
 	after := func(now time.Time, d time.Duration, run func(now time.Time)) {
 		heap.Push(&events, replayEvent{at: now.Add(d), run: run})
@@ -90,7 +124,7 @@
 		capacity += float64(r.slots) / (targets[i].slowness * meanPace * replayCallTime.Seconds())
 	}
 	for vm := range fleets {
-		fleets[vm] = &Fleet{DataCentre: "a", rand: rand.New(rand.NewPCG(3, uint64(vm)))}
+		fleets[vm] = &Fleet{DataCentre: "a", rand: rand.New(rand.NewPCG(r.seed, uint64(vm)))}
 		for i := range targets {
 			record := target(fmt.Sprint(i), "a")
 			record.Slots = r.slots
@@ -98,6 +132,7 @@
 		}
 	}
 	var times []time.Duration
+	var hits hitCount
 	learnedAt, end := testStart.Add(r.duration/3), testStart.Add(r.duration)
 	var arrive func(now time.Time)
 	arrive = func(now time.Time) {
@@ -121,7 +156,12 @@
 		begin := func(begun time.Time) {
 			s.waiting--
 			s.running++
+			isKept := query.AffinityKey == "" || s.read(query.AffinityKey)
+			hits.add(isKept, now.After(learnedAt))
 			took := time.Duration((0.3 + 0.7*rnd.ExpFloat64()) * s.slowness * s.pace * float64(replayCallTime))
+			if !isKept {
+				took += time.Duration(s.slowness * s.pace * float64(replayCallTime))
+			}
 			after(begun, took, func(ended time.Time) {
 				s.running--
 				if len(s.queue) > 0 && s.running < r.slots {
@@ -150,7 +190,9 @@
 		next := heap.Pop(&events).(replayEvent)
 		next.run(next.at)
 	}
-	return r.summarize(times, targets)
+	result := r.summarize(times, targets)
+	result.kept = hits.share()
+	return result
 }
 
 // alternatePace makes the target slow for 600 ms after a time that is random.
@@ -194,6 +236,14 @@
 
 func evenSpeed(int) float64 { return 1 }
 
+// quarterSlow makes every fourth target half as fast as the others.
+func quarterSlow(target int) float64 {
+	if target%4 == 0 {
+		return 2
+	}
+	return 1
+}
+
 // alternatingSpeed makes every other target half as fast as the others.
 func alternatingSpeed(target int) float64 { return float64(1 + target%2) }
 
@@ -227,11 +277,20 @@
 		}, 0.3, 0.35, 1.45},
 		{"5 targets with 6 slots", unevenReplay{
 			vms: 70, targets: 5, slots: 6, load: 0.75, slowness: evenSpeed, hasSlowPeriods: true, reportsPace: true, reportDelay: reportDelay,
+			duration: 5 * time.Minute,
 		}, 0.95, 0.9, 1.15},
+		{"90 engines of which a quarter has half the speed", unevenReplay{
+			vms: 15, targets: 90, slots: 4, load: 0.6, slowness: quarterSlow, hasSlowPeriods: true, reportsPace: true, affinityKeys: 500, reportDelay: reportDelay,
+			duration: 24 * time.Second,
+		}, 1, 0.7, 2.1},
+		{"90 engines of which a quarter has half the speed, learned", unevenReplay{
+			vms: 15, targets: 90, slots: 4, load: 0.6, slowness: quarterSlow, affinityKeys: 500, reportDelay: reportDelay,
+			duration: 24 * time.Second,
+		}, 1, 0.5, 1.8},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			test.replay.duration = 30 * time.Second
+			test.replay.duration, test.replay.seed = cmp.Or(test.replay.duration, 30*time.Second), 2
 			got := test.replay.run(t)
 			test.replay.ignoresSpeeds = true
 			today := test.replay.run(t)
--- a/pkg/radishfleet/uneven_test.go
+++ b/pkg/radishfleet/uneven_test.go
@@ -168,17 +168,19 @@
 	}
 }
 
-// BenchmarkPickUneven measures a choice among the most targets that a VM has, by load alone and by expected time.
+// BenchmarkPickUneven measures a choice among the most targets that a VM has, by load alone and by expected time, without and with
+// affinity.
 func BenchmarkPickUneven(b *testing.B) {
-	for _, pace := range []float64{0, 1} {
-		b.Run(fmt.Sprintf("pace=%v", pace), func(b *testing.B) {
+	for n := range 4 {
+		pace, key := float64(n%2), []string{"", "p"}[n/2]
+		b.Run(fmt.Sprintf("pace=%v,affinity=%t", pace, key != ""), func(b *testing.B) {
 			f := &Fleet{DataCentre: "a"}
 			for i := range 292 {
 				f.Set(target(fmt.Sprint(i), "a"), testStart)
 				f.Observe(target(fmt.Sprint(i), "a"), radish.TargetNotice{Load: radish.TargetLoad{Slots: 4, Pace: pace, Reported: true}}, testStart)
 			}
 			for b.Loop() {
-				picked, _ := f.Pick(Query{Service: "s"}, testStart)
+				picked, _ := f.Pick(Query{Service: "s", AffinityKey: key}, testStart)
 				f.Done(picked.Name, Outcome{}, testStart)
 			}
 		})
