Size stage batches by the speed of their target where speeds differ

Cause: idle targets got equal parts of the queue, so that a call's last pieces ran at a target of half the speed while a fast one was about to be free. Change: where the times of batches differ, a target gets the part of the queue that its speed has of all idle targets' speed, its batches' expected ends follow its speed, and pieces that a busy faster target would complete in 0.6 of the time are left to it. A batch is hedged and timed out by the time expected at its target.

--- a/internal/radishstage/dispatch.go
+++ b/internal/radishstage/dispatch.go
@@ -18,7 +18,11 @@
 	usable := c.usableTargets(service, now)
 	idle := c.idleTargets(usable, batch, now)
 	d := &serviceDispatch{
-		service: service, queue: q, batch: batch, usableTargets: len(usable), usableDataCentres: dataCentresOf(usable), now: now,
+		service: service, queue: q, batch: batch, usable: usable, usableDataCentres: dataCentresOf(usable), now: now,
+		timeFactors: c.Fleet.TimeFactors(service, now),
+	}
+	if d.timeFactors != nil {
+		c.sortBySpeed(d, idle)
 	}
 	idle = c.startBatches(d, idle, dataCentresOf(idle))
 	c.startBatches(d, idle, nil)
@@ -29,28 +33,37 @@
 	service           string
 	queue             *radishbatch.Queue
 	batch             *radishroute.BatchSettings
-	usableTargets     int
+	usable            []radish.Target
 	usableDataCentres map[string]bool
 	now               time.Time
+	// timeFactors holds, by name, the time of work at each target relative to the usual one; nil if the targets' speeds do not differ.
+	timeFactors map[string]float64
+	// busy caches the targets that are expected to end a batch.
+	busy []radishbatch.BusyTarget
 }
 
 // startBatches starts a call at each idle target for which the queue has pieces, and returns the targets that are still idle.
 func (c *Coordinator) startBatches(d *serviceDispatch, idle []radish.Target, reserved map[string]bool) []radish.Target {
 	var stillIdle []radish.Target
+	idleSpeed := d.speedOf(idle)
 	for n, t := range idle {
 		spec := radishbatch.BatchSpec{
 			Target: t.Name, DataCentre: t.DataCentre,
 			MaxPieces: d.batch.MaxPieces, MaxResultBytes: c.stateOf(t).space.FreeBytes(d.batch.ResultMemoryBytes, d.now),
 			Overhead: d.batch.CallTime, PieceTime: d.batch.PieceTime,
-			IdleTargets: len(stillIdle) + len(idle) - n, UsableTargets: d.usableTargets,
+			IdleTargets: len(stillIdle) + len(idle) - n, UsableTargets: len(d.usable),
 			UsableDataCentres: d.usableDataCentres, ReservedDataCentres: reserved,
 		}
+		if d.timeFactors != nil {
+			c.adaptToSpeed(d, &spec, t, idleSpeed)
+		}
 		items := d.queue.TakeBatch(spec, d.now)
 		if len(items) == 0 {
 			stillIdle = append(stillIdle, t)
 			continue
 		}
-		c.startCall(t, d.service, d.batch, items, d.now)
+		idleSpeed -= 1 / d.timeFactor(t)
+		c.startCall(t, d, items)
 		if c.isUncontended(d.now) && spec.LeavesFreeSpace(items, d.batch.ResultMemoryBytes) {
 			c.scheduleInputRelease(items)
 		}
--- a/internal/radishstage/stage_call.go
+++ b/internal/radishstage/stage_call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"radishramp.example/radishramp/internal/radishlog"
@@ -29,11 +30,14 @@
 )
 
 // startCall sends the items to the target in one call and handles its outcome in the background.
-func (c *Coordinator) startCall(
-	t radish.Target, service string, batch *radishroute.BatchSettings, items []*radishbatch.Item, now time.Time,
-) {
+func (c *Coordinator) startCall(t radish.Target, d *serviceDispatch, items []*radishbatch.Item) {
+	service, batch, now := d.service, d.batch, d.now
 	c.stateOf(t).activeCalls++
 	expected := batch.CallTime + time.Duration(len(items))*batch.PieceTime
+	// A slow target is given the time that it takes.
+	patience := scale(expected, max(1, d.timeFactor(t)))
+	expectedEnd := now.Add(scale(expected, d.timeFactor(t)))
+	c.stateOf(t).expectedEnds = append(c.stateOf(t).expectedEnds, expectedEnd)
 	tracked := c.stateOf(t).space.TrackedBytes(now)
 	pieces := make([]radish.Piece, len(items))
 	for i, item := range items {
@@ -41,19 +45,19 @@
 			j.pinDataCentre(t.DataCentre)
 		}
 		item.Attempts++
-		item.AvoidTarget, item.AvoidUntil = t.Name, now.Add(expected+avoidDuration)
+		item.AvoidTarget, item.AvoidUntil = t.Name, now.Add(patience+avoidDuration)
 		pieces[i] = item.Piece
 		pieces[i].Timeout = item.Deadline.Sub(now)
 	}
-	hedgeTimer := time.AfterFunc(time.Duration(hedgeFactor*float64(expected))+hedgeSlack, func() { c.hedge(t, service, items) })
+	hedgeTimer := time.AfterFunc(time.Duration(hedgeFactor*float64(patience))+hedgeSlack, func() { c.hedge(t, service, items) })
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeoutFactor*expected)
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeoutFactor*patience)
 		defer cancel()
 		results, err := c.Client.RunPieces(ctx, t, pieces)
 		hedgeTimer.Stop()
 		call := &finishedCall{
 			target: t, service: service, batch: batch, items: items, results: results, err: err, took: time.Since(now), expected: expected,
-			trackedBytes: tracked,
+			expectedEnd: expectedEnd, trackedBytes: tracked,
 		}
 		c.finishCall(call)
 	}()
@@ -69,6 +73,8 @@
 	err      error
 	took     time.Duration
 	expected time.Duration
+	// expectedEnd is when the call was expected to end at a target of this speed.
+	expectedEnd time.Time
 	// trackedBytes is the size of the results that this coordinator had recorded at the target when the call started.
 	trackedBytes int64
 }
@@ -121,15 +127,19 @@
 	now := time.Now()
 	s := c.stateOf(call.target)
 	s.activeCalls = max(0, s.activeCalls-1)
+	if i := slices.Index(s.expectedEnds, call.expectedEnd); i >= 0 {
+		s.expectedEnds = slices.Delete(s.expectedEnds, i, i+1)
+	}
 	c.Metrics.RecordStageCall(call.service, call.took, len(call.items), call.err == nil)
 	c.Log.Debug("stage call ended", "target", call.target.Name, "service", call.service, "pieces", len(call.items),
 		"took_ms", call.took.Milliseconds(), "expected_ms", call.expected.Milliseconds(),
-		"waiting", c.queueOf(call.service).Len(), "error", radishlog.ErrorText(call.err))
+		"expected_here_ms", (call.took + call.expectedEnd.Sub(now)).Milliseconds(), "waiting", c.queueOf(call.service).Len(), "error", radishlog.ErrorText(call.err))
 	if call.err != nil {
 		c.handleCallError(call, s, now)
 	} else {
 		s.slowness += slownessWeight * (float64(call.took)/float64(call.expected) - s.slowness)
 		c.Fleet.Report(call.target.Name, radishfleet.Outcome{}, now)
+		c.Fleet.RecordBatch(call.target.Name, call.took, call.expected, now)
 		produced, isShort := call.resultBytes()
 		c.detectContention(call, isShort, now)
 		s.space.UpdateUntracked(call.batch.ResultMemoryBytes-call.trackedBytes-produced, isShort, now)
--- a/internal/radishstage/target_state.go
+++ b/internal/radishstage/target_state.go
@@ -23,6 +23,8 @@
 	target       radish.Target
 	activeCalls  int
 	blockedUntil time.Time
+	// expectedEnds are the times at which the active calls are expected to end.
+	expectedEnds []time.Time
 	space        radishbatch.ResultSpace
 	// slowness is the moving average of the ratio of actual to expected call time.
 	slowness float64
--- a/pkg/radishbatch/queue.go
+++ b/pkg/radishbatch/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"math"
 	"slices"
 	"time"
 
@@ -129,6 +130,10 @@
 	PieceTime time.Duration
 	// IdleTargets is the number of targets, including this one, that can start a batch now.
 	IdleTargets int
+	// IdleShare is the part of the idle targets' speed that this one has, if their speeds differ; 0 means that they do not.
+	IdleShare float64
+	// Reserved is the number of pieces, the first ones in order, that are left to faster targets.
+	Reserved int
 	// UsableTargets is the number of usable targets of the service, idle or not.
 	UsableTargets int
 	// UsableDataCentres is the set of data centres that have usable targets.
@@ -144,12 +149,11 @@
 		return nil
 	}
 	// With more idle targets than full batches in the queue, several short batches finish sooner than one long batch.
-	share := (len(q.items) + max(1, spec.IdleTargets) - 1) / max(1, spec.IdleTargets)
-	limit := min(spec.MaxPieces, share)
+	limit := min(spec.MaxPieces, spec.shareOf(len(q.items)))
 	end := now.Add(spec.Overhead + time.Duration(limit)*spec.PieceTime)
 	var taken []*Item
 	callIDs := make(map[string]bool)
-	freeBytes := spec.MaxResultBytes
+	freeBytes, reserved := spec.MaxResultBytes, spec.Reserved
 	for i := range q.inOrder(&spec, now, end) {
 		if len(taken) == spec.MaxPieces {
 			break
@@ -162,6 +166,10 @@
 		if spec.isAvoided(i, now) || i.ResultBytes > freeBytes || spec.isReservedElsewhere(i, now, end) {
 			continue
 		}
+		if reserved > 0 {
+			reserved--
+			continue
+		}
 		freeBytes -= i.ResultBytes
 		taken = append(taken, i)
 		i.isTaken = true
@@ -176,6 +184,15 @@
 	return taken
 }
 
+// shareOf returns the part of the queued pieces that the target gets if all idle targets are to end at the same time.
+func (s *BatchSpec) shareOf(pieces int) int {
+	if s.IdleShare > 0 {
+		return max(1, int(math.Ceil(float64(pieces)*s.IdleShare)))
+	}
+	idle := max(1, s.IdleTargets)
+	return (pieces + idle - 1) / idle
+}
+
 // inOrder returns the queued pieces in the order in which a batch that ends at the given time prefers them. Late pieces are
 // sorted only if the caller asks for more than all pieces that are in time.
 func (q *Queue) inOrder(spec *BatchSpec, now, end time.Time) iter.Seq[*Item] {
--- a/pkg/radishfleet/speed.go
+++ b/pkg/radishfleet/speed.go
@@ -110,9 +110,43 @@
 // RecordTiming learns from the time that work took at a target. The time that the call probably waited, and that by which the
 // target's machine was slower than usual, do not count.
 func (f *Fleet) RecordTiming(name string, t Timing, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recordTiming(f.targets[name], t, now)
+}
+
+// RecordBatch learns from the time that a batch of pieces took at a target, for which the configuration gives the expected time. The
+// target's latest report is the one with this batch's response, if it reports its load.
+func (f *Fleet) RecordBatch(name string, took, expected time.Duration, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.targets[name]
+	if s == nil {
+		return
+	}
+	t := Timing{Kind: WorkBatch, Took: took, Units: expected.Seconds()}
+	if s.heard.weight(now) > 0 {
+		t.Pace = s.heard.load.Pace
+	}
+	f.recordTiming(s, t, now)
+}
+
+// TimeFactors returns, by name, the expected time of work at each target of the service relative to the usual one, without its queue;
+// nil if the targets' speeds do not differ.
+func (f *Fleet) TimeFactors(service string, now time.Time) map[string]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.isUneven(service, now) {
+		return nil
+	}
+	factors := make(map[string]float64, len(f.byService[service]))
+	for _, s := range f.byService[service] {
+		factors[s.target.Name] = s.relativeSlowness() * s.heard.paceAt(now)
+	}
+	return factors
+}
+
+func (f *Fleet) recordTiming(s *targetState, t Timing, now time.Time) {
 	if s == nil || t.Took <= 0 || t.Units <= 0 {
 		return
 	}
