Let the slack of an engine's load follow its slots where speeds differ

Cause: a slack of one call moved prompts away from engines with many slots, where a few more calls delay each other little. Change: the slack is a quarter of the slots, one to six calls, which is today's. Result: nothing changes with 4 slots.

--- a/pkg/radishfleet/engine_load.go
+++ b/pkg/radishfleet/engine_load.go
@@ -8,10 +8,10 @@
 const (
 	// promptSampleWeight is the weight of the latest prompt in the mean number of tokens that a call's engine has to read.
 	promptSampleWeight = 0.05
-	// unevenLoadFactor and unevenLoadSlack are affinityLoadFactor and affinityLoadSlack for engines whose speeds differ. To read a
-	// prompt again takes about as long as another call, which the slack is worth.
-	unevenLoadFactor = 1.3
-	unevenLoadSlack  = 1.0
+	// minLoadSlack and loadSlackPerSlot replace affinityLoadSlack, which remains the limit, for engines whose speeds differ: a few more
+	// calls delay each other at an engine with few slots, and are worth an unread prompt at one with many.
+	minLoadSlack     = 1.0
+	loadSlackPerSlot = 0.25
 	// hashWeightStep is the step, as a power of two, in which the weight of an engine follows its learned speed. VMs that learn
 	// slightly different speeds then mostly assign a prompt to the same engine.
 	hashWeightStep = 0.25
@@ -103,7 +103,6 @@
 // the less loaded one of the next two, so that the prompt is kept by few engines; nil if no eligible engine's load is close to the mean.
 func (f *Fleet) pickByHashAndLoad(q Query, eligible, all []*targetState, now time.Time) *targetState {
 	loads := f.engineLoadsOf(all, now)
-	maxLoad := unevenLoadSlack + unevenLoadFactor*loads.mean
 	var assigned, first, second *targetState
 	var assignedScore, firstScore, secondScore float64
 	for _, s := range eligible {
@@ -115,7 +114,7 @@
 			assigned, assignedScore = s, score
 		}
 		switch {
-		case first != nil && score < secondScore || loads.of(s) > maxLoad:
+		case first != nil && score < secondScore || loads.of(s) > s.maxEngineLoad(loads.mean):
 		case first == nil || score > firstScore:
 			second, secondScore = first, firstScore
 			first, firstScore = s, score
@@ -129,6 +128,12 @@
 	return second
 }
 
+// maxEngineLoad returns the load up to which the engine is picked by affinity.
+func (s *targetState) maxEngineLoad(mean float64) float64 {
+	slack := min(affinityLoadSlack, max(minLoadSlack, loadSlackPerSlot*float64(s.target.Slots)))
+	return slack + affinityLoadFactor*mean
+}
+
 // updateHashWeight lets the weight of the engine follow its learned speed in steps.
 func (s *targetState) updateHashWeight() {
 	speed := -math.Log2(s.relativeSlowness()) / hashWeightStep
--- a/pkg/radishfleet/engine_load_test.go
+++ b/pkg/radishfleet/engine_load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"radishramp.example/radishramp/pkg/radish"
@@ -85,3 +86,14 @@
 		t.Errorf("load %.1f, and %.1f of an engine whose load is not known; want 10 for both", known, unknown)
 	}
 }
+
+// TestSlackFollowsSlots checks the load up to which an engine is picked by affinity. An engine with many slots must not lose its
+// prompts for a few calls, and one with few slots must not get so many that they wait.
+func TestSlackFollowsSlots(t *testing.T) {
+	for slots, want := range map[int]float64{0: 3.6, 1: 3.6, 4: 3.6, 8: 4.6, 24: 8.6, 64: 8.6} {
+		s := &targetState{target: radish.Target{Slots: slots}}
+		if got := s.maxEngineLoad(2); math.Abs(got-want) > 1e-9 {
+			t.Errorf("%d slots: load up to %.2f at a mean of 2, want %.2f", slots, got, want)
+		}
+	}
+}
