--- a/internal/radishstage/hopeless.go
+++ b/internal/radishstage/hopeless.go
@@ -79,8 +79,8 @@
 	for _, t := range c.usableTargets(service, now) {
 		s := c.stateOf(t)
 		start := time.Duration(0)
-		if batch != nil && s.activeCalls >= batch.Slots && len(s.callEnds) > 0 {
-			start = max(0, slices.MinFunc(s.callEnds, time.Time.Compare).Sub(now))
+		if batch != nil && s.activeCalls >= batch.Slots && len(s.expectedEnds) > 0 {
+			start = max(0, slices.MinFunc(s.expectedEnds, time.Time.Compare).Sub(now))
 		}
 		if first < 0 || start < first {
 			first = start
@@ -92,7 +92,7 @@
 
 // endOfCall removes the expected end of a call from those of the target.
 func (s *targetState) endOfCall(end time.Time) {
-	if i := slices.Index(s.callEnds, end); i >= 0 {
-		s.callEnds = slices.Delete(s.callEnds, i, i+1)
+	if i := slices.Index(s.expectedEnds, end); i >= 0 {
+		s.expectedEnds = slices.Delete(s.expectedEnds, i, i+1)
 	}
 }
--- a/internal/radishstage/stage_call.go
+++ b/internal/radishstage/stage_call.go
@@ -29,40 +29,41 @@
 )
 
 // startCall sends the items to the target in one call and handles its outcome in the background.
-func (c *Coordinator) startCall(
-	t radish.Target, service string, batch *radishroute.BatchSettings, items []*radishbatch.Item, now time.Time,
-) {
+func (c *Coordinator) startCall(t radish.Target, d *serviceDispatch, items []*radishbatch.Item) {
+	service, batch, now := d.service, d.batch, d.now
 	c.stateOf(t).activeCalls++
 	expected := batch.CallTime + time.Duration(len(items))*batch.PieceTime
-	end := now.Add(expected)
-	c.stateOf(t).callEnds = append(c.stateOf(t).callEnds, end)
+	// A slow target is given the time that it takes.
+	expectedHere := scale(expected, max(1, d.timeFactor(t)))
+	expectedEnd := now.Add(scale(expected, d.timeFactor(t)))
+	c.stateOf(t).expectedEnds = append(c.stateOf(t).expectedEnds, expectedEnd)
 	tracked := c.stateOf(t).space.TrackedBytes(now)
 	pieces := make([]radish.Piece, len(items))
 	for i, item := range items {
 		if j := c.owners[item]; j != nil {
 			c.begin(j)
-			if stage := &j.stages[item.Piece.Stage]; item.Attempts == 0 && end.After(stage.runsUntil) {
-				stage.runsUntil = end
+			if stage := &j.stages[item.Piece.Stage]; item.Attempts == 0 && expectedEnd.After(stage.runsUntil) {
+				stage.runsUntil = expectedEnd
 			}
 			if item.IsDataHeavy {
 				j.pinDataCentre(t.DataCentre)
 			}
 		}
 		item.Attempts++
-		item.AvoidTarget, item.AvoidUntil = t.Name, now.Add(expected+avoidDuration)
+		item.AvoidTarget, item.AvoidUntil = t.Name, now.Add(expectedHere+avoidDuration)
 		pieces[i] = item.Piece
 		pieces[i].Timeout = item.Deadline.Sub(now)
 	}
 	reservation := c.reserveSpace(t, batch, items, now)
-	hedgeTimer := time.AfterFunc(time.Duration(hedgeFactor*float64(expected))+hedgeSlack, func() { c.hedge(t, service, items) })
+	hedgeTimer := time.AfterFunc(time.Duration(hedgeFactor*float64(expectedHere))+hedgeSlack, func() { c.hedge(t, service, items) })
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeoutFactor*expected)
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeoutFactor*expectedHere)
 		defer cancel()
 		results, err := c.Client.RunPieces(ctx, t, pieces)
 		hedgeTimer.Stop()
 		call := &finishedCall{
 			target: t, service: service, batch: batch, items: items, results: results, err: err, took: time.Since(now), expected: expected,
-			trackedBytes: tracked, reservation: reservation, expectedEnd: end,
+			expectedEnd: expectedEnd, trackedBytes: tracked, reservation: reservation,
 		}
 		c.finishCall(call)
 	}()
@@ -78,7 +79,7 @@
 	err      error
 	took     time.Duration
 	expected time.Duration
-	// expectedEnd is when the call was expected to end.
+	// expectedEnd is when the call was expected to end at a target of this speed.
 	expectedEnd time.Time
 	// trackedBytes is the size of the results that this coordinator had recorded at the target when the call started.
 	trackedBytes int64
@@ -139,12 +140,13 @@
 	c.Metrics.RecordStageCall(call.service, call.took, len(call.items), call.err == nil)
 	c.Log.Debug("stage call ended", "target", call.target.Name, "service", call.service, "pieces", len(call.items),
 		"took_ms", call.took.Milliseconds(), "expected_ms", call.expected.Milliseconds(),
-		"waiting", c.queueOf(call.service).Len(), "error", radishlog.ErrorText(call.err))
+		"expected_here_ms", (call.took + call.expectedEnd.Sub(now)).Milliseconds(), "waiting", c.queueOf(call.service).Len(), "error", radishlog.ErrorText(call.err))
 	if call.err != nil {
 		c.handleCallError(call, s, now)
 	} else {
 		s.slowness += slownessWeight * (float64(call.took)/float64(call.expected) - s.slowness)
 		c.Fleet.Report(call.target.Name, radishfleet.Outcome{}, now)
+		c.Fleet.RecordBatch(call.target.Name, call.took, call.expected, now)
 		produced, isShort := call.resultBytes()
 		c.detectContention(call, isShort, now)
 		s.space.UpdateUntracked(call.batch.ResultMemoryBytes-call.trackedBytes-produced, isShort, now)
