Compare times of calls and prompts within a data centre

Cause: the way to another data centre counted as slowness of its targets, so that even targets could count as uneven, and VMs of different data centres would assign the same prompt to different engines. Change: the times of calls and prompts are compared with those in the same data centre, those of events and batches with all. Result: TestDistanceIsNoSlowness failed before and passes.

--- a/pkg/radishfleet/speed.go
+++ b/pkg/radishfleet/speed.go
@@ -4,6 +4,8 @@
 	"maps"
 	"math"
 	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
 )
 
 // WorkKind is a kind of work. A machine may be slow at one of them only.
@@ -36,7 +38,7 @@
 	// unevenHold is how long targets count as uneven after the last sign of it, so that the choice does not alternate.
 	unevenHold = 10 * time.Second
 	// maxTimeClasses limits the classes of a service whose times are known; times of others are ignored.
-	maxTimeClasses = 128
+	maxTimeClasses = 512
 	// classTTL is how long a class without observations is remembered.
 	classTTL = 10 * speedHalfLife
 	// costSampleWeight is the weight of the latest report in the mean expected time at a service.
@@ -92,9 +94,11 @@
 	unevenUntil      time.Time
 }
 
+// timeClass is a class of work whose times are compared. The times of calls and prompts contain the way to the target, which says
+// nothing about its speed, so that they are compared within its data centre.
 type timeClass struct {
-	kind WorkKind
-	name string
+	kind             WorkKind
+	name, dataCentre string
 }
 
 // speedsOf returns what is known about the service, which it creates if there is nothing.
@@ -154,7 +158,7 @@
 		return
 	}
 	v := f.speedsOf(s.target.Service)
-	mean := v.classOf(t)
+	mean := v.classOf(s.target, t)
 	if mean == nil {
 		return
 	}
@@ -166,8 +170,11 @@
 }
 
 // classOf returns the mean time of the work's class, or nil if there are too many classes.
-func (v *serviceSpeeds) classOf(t Timing) *decayedMean {
+func (v *serviceSpeeds) classOf(target radish.Target, t Timing) *decayedMean {
 	key := timeClass{kind: t.Kind, name: t.Class}
+	if t.Kind == WorkCall || t.Kind == WorkPrompt {
+		key.dataCentre = target.DataCentre
+	}
 	mean := v.classes[key]
 	if mean == nil && len(v.classes) < maxTimeClasses {
 		mean = &decayedMean{}
--- a/pkg/radishfleet/uneven_test.go
+++ b/pkg/radishfleet/uneven_test.go
@@ -112,6 +112,28 @@
 	}
 }
 
+// TestDistanceIsNoSlowness checks that the way to another data centre does not make its targets count as slow. Otherwise VMs of
+// different data centres would assign the same prompt to different engines.
+func TestDistanceIsNoSlowness(t *testing.T) {
+	for _, kind := range []WorkKind{WorkCall, WorkPrompt} {
+		f := newEngineFleet(9)
+		distance := map[string]float64{"a": 1, "b": 1.5, "c": 2}
+		tellSpeeds(f, kind, 50, func(name string) float64 { return distance[f.targets[name].target.DataCentre] })
+		if f.isUneven("s", testStart) {
+			t.Errorf("kind %d: targets count as uneven because of their distance", kind)
+		}
+		tellSpeeds(f, kind, 50, func(name string) float64 {
+			if name == "e1" {
+				return 2 * distance["b"]
+			}
+			return distance[f.targets[name].target.DataCentre]
+		})
+		if later := afterStart(speedRefresh); !f.isUneven("s", later) || f.targets["e1"].relativeSlowness() < minUnevenRatio {
+			t.Errorf("kind %d: a slow target among distant ones is not recognized, slowness %.2f", kind, f.targets["e1"].relativeSlowness())
+		}
+	}
+}
+
 // TestUnevennessEndsWithReports checks that choices are by load alone again some time after the last momentary figure.
 func TestUnevennessEndsWithReports(t *testing.T) {
 	f := newFleet(target("t1", "a"), target("t2", "a"))
