--- a/internal/radishsite/gossip.go
+++ b/internal/radishsite/gossip.go
@@ -78,6 +78,7 @@
 		Vm: p.self.Name, DataCentre: p.self.DataCentre, PeerAddress: p.self.Address, Incarnation: p.self.Incarnation, Leaving: p.isLeaving(),
 		Complete: make(map[string]int64), StoreAway: p.state.isStoreUnreachable(), CoordinatorsDigest: p.coordinatorsDigest(),
 		CrashesDigest: p.quarantine.Digest(time.Now()), LeavingTargetsDigest: p.state.fleet.LeavingDigest(time.Now()),
+		PacesDigest: p.state.fleet.PaceDigest(),
 	}
 	for _, kind := range radish.RecordKinds {
 		h.Complete[string(kind)] = p.mirror.CompleteRevision(kind)
--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -142,6 +142,7 @@
 	p.mergeCoordinators(h.GetCoordinators())
 	p.mergeCrashes(h.GetCrashes(), h.GetVm())
 	p.mergeLeaving(h.GetLeavingTargets(), h.GetVm())
+	p.mergePaces(h)
 }
 
 // recordPeerState records whether the peer reaches the store and whether it is leaving.
--- a/internal/radishsite/report.go
+++ b/internal/radishsite/report.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 
+	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
 )
 
@@ -19,11 +21,13 @@
 func (p *peerManager) addReports(h *radishpeerpb.SiteHeartbeat) {
 	h.Crashes = p.encodeCrashes()
 	h.LeavingTargets = p.encodeLeaving()
+	p.addPaces(h)
 }
 
 // differInReports reports whether the senders of two heartbeats have different reports on targets.
 func differInReports(a, b *radishpeerpb.SiteHeartbeat) bool {
-	return a.GetCrashesDigest() != b.GetCrashesDigest() || a.GetLeavingTargetsDigest() != b.GetLeavingTargetsDigest()
+	return a.GetCrashesDigest() != b.GetCrashesDigest() || a.GetLeavingTargetsDigest() != b.GetLeavingTargetsDigest() ||
+		a.GetPacesDigest() != b.GetPacesDigest()
 }
 
 // sendReports sends this VM's reports on targets to one peer.
@@ -34,3 +38,27 @@
 		p.log.Warn("cannot send reports on targets to peer", "peer", name, "error", err.Error())
 	}
 }
+
+// pacesPerUnit is the resolution of paces in messages.
+const pacesPerUnit = 100
+
+// addPaces adds the usual paces of the targets to a heartbeat.
+func (p *peerManager) addPaces(h *radishpeerpb.SiteHeartbeat) {
+	for _, pace := range p.state.fleet.Paces() {
+		h.PaceTargets = append(h.PaceTargets, pace.Key)
+		h.Paces = append(h.Paces, uint32(math.Round(pacesPerUnit*pace.Pace)))
+	}
+}
+
+// mergePaces takes over the usual paces that a peer knows.
+func (p *peerManager) mergePaces(h *radishpeerpb.SiteHeartbeat) {
+	n := min(len(h.GetPaceTargets()), len(h.GetPaces()))
+	if n == 0 {
+		return
+	}
+	paces := make([]radishfleet.TargetPace, n)
+	for i := range paces {
+		paces[i] = radishfleet.TargetPace{Key: h.GetPaceTargets()[i], Pace: float64(h.GetPaces()[i]) / pacesPerUnit}
+	}
+	p.state.fleet.MergePaces(paces)
+}
--- a/pkg/radishfleet/engine_load.go
+++ b/pkg/radishfleet/engine_load.go
@@ -77,13 +77,13 @@
 
 // own returns the load by this VM's calls.
 func (l *engineLoads) own(s *targetState) float64 {
-	return s.relativeSlowness() * (1 + float64(s.inFlight) + l.fleet.promptWork(s))
+	return s.relativeSlowness() * plausiblePace(s.usualPace) * (1 + float64(s.inFlight) + l.fleet.promptWork(s))
 }
 
 // reported returns the load by the latest report and the calls that this VM has sent since.
 func (l *engineLoads) reported(s *targetState) float64 {
 	calls := max(s.inFlight, s.heard.load.Running+s.heard.load.Waiting+s.heard.sentSince)
-	return s.relativeSlowness() * s.heard.paceAt(l.now) * (1 + float64(calls) + l.fleet.promptWork(s))
+	return s.relativeSlowness() * s.paceAt(l.now) * (1 + float64(calls) + l.fleet.promptWork(s))
 }
 
 // isKnown reports whether the engine reported its load a short time ago. Streams take seconds, so the number of calls changes slowly.
@@ -103,13 +103,14 @@
 // the less loaded one of the next two, so that the prompt is kept by few engines; nil if no eligible engine's load is close to the mean.
 func (f *Fleet) pickByHashAndLoad(q Query, eligible, all []*targetState, now time.Time) *targetState {
 	loads := f.engineLoadsOf(all, now)
+	promptWeight := f.promptWeights(q, all)
 	var assigned, first, second *targetState
 	var assignedScore, firstScore, secondScore float64
 	for _, s := range eligible {
 		if s.decayedFailureRate(now) > maxAffinityFailureRate {
 			continue
 		}
-		score := q.hashScore(s) * s.hashWeight()
+		score := q.hashScore(s) * s.hashWeight() * promptWeight(s)
 		if assigned == nil || score > assignedScore {
 			assigned, assignedScore = s, score
 		}
--- a/pkg/radishfleet/expectation.go
+++ b/pkg/radishfleet/expectation.go
@@ -38,6 +38,7 @@
 	v := f.speedsOf(s.target.Service)
 	if load.Pace > 0 {
 		v.unevenUntil = now.Add(unevenHold)
+		f.lowerUsualPace(s, load.Pace)
 	}
 	v.meanCost += costSampleWeight * (min(maxReportedCost, s.reportedCost()) - v.meanCost)
 }
@@ -51,9 +52,10 @@
 	return 1 - float64(max(0, age))/float64(reportTrust)
 }
 
-// paceAt returns the momentary figure drawn towards 1 by the report's age.
-func (r *heardReport) paceAt(now time.Time) float64 {
-	return 1 + r.weight(now)*(r.pace()-1)
+// paceAt returns the momentary figure drawn towards the usual one by the report's age.
+func (s *targetState) paceAt(now time.Time) float64 {
+	usual := plausiblePace(s.usualPace)
+	return usual + s.heard.weight(now)*(s.heard.pace()-usual)
 }
 
 // pace returns the momentary figure, 1 if the target reported none.
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -45,6 +45,8 @@
 	dataCentreLinks map[string]*dataCentreLink
 	// speeds holds, by service, what is known about the speeds of its targets.
 	speeds map[string]*serviceSpeeds
+	// paceDigest is a hash of the usual paces of the targets.
+	paceDigest uint64
 	// rand draws random targets; nil means the process's random numbers.
 	rand *rand.Rand
 }
@@ -70,6 +72,8 @@
 	ejectionPeriod time.Duration
 	ejectedUntil   time.Time
 	heard          heardReport
+	// usualPace is the least pace that the target reported to any VM; 0 means that none is known.
+	usualPace float64
 	// speeds are the observed times by kind of work, relative to those of the service; slowness is the time of work relative to the
 	// mean of the service's targets, as of the latest comparison, and 0 before the first one.
 	speeds   [workKinds]decayedMean
@@ -119,6 +123,7 @@
 		return
 	}
 	delete(f.targets, name)
+	f.paceDigest ^= s.paceHash()
 	f.releaseAddress(s)
 	f.releaseProbe(s.target)
 	service := s.target.Service
