--- a/pkg/radishfleet/speed.go
+++ b/pkg/radishfleet/speed.go
@@ -148,7 +148,7 @@
 	}
 	factors := make(map[string]float64, len(f.byService[service]))
 	for _, s := range f.byService[service] {
-		factors[s.target.Name] = s.relativeSlowness() * s.heard.paceAt(now)
+		factors[s.target.Name] = s.relativeSlowness() * s.paceAt(now)
 	}
 	return factors
 }
