--- a/internal/radishsite/report_test.go
+++ b/internal/radishsite/report_test.go
@@ -36,6 +36,30 @@
 	})
 }
 
+// TestPeersExchangeUsualPaces guards against VMs that know different usual paces for long, and so send the same prompt to different
+// engines: each VM hears a part of the reports, and all must know all paces some seconds later. Malformed paces are ignored.
+func TestPeersExchangeUsualPaces(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const targets = 60
+		vms := startVMs(t, 30)
+		for i := range targets {
+			engine := radish.Target{Name: fmt.Sprint("i-", i), Address: fmt.Sprintf("i-%d:1", i), Service: "s", StartedUnixMilli: 5}
+			for _, vm := range vms {
+				vm.state.fleet.Set(engine, time.Now())
+			}
+			report := radish.TargetLoad{Pace: 0.55 + 0.1*float64(i%5), Reported: true}
+			vms[i%len(vms)].state.fleet.Observe(engine, radish.TargetNotice{Load: report}, time.Now())
+		}
+		vms[0].mergePaces(&radishpeerpb.SiteHeartbeat{PaceTargets: []uint32{1, 2, 3}, Paces: []uint32{0}})
+		time.Sleep(8 * time.Second)
+		for _, vm := range vms {
+			if n := len(vm.state.fleet.Paces()); n != targets || vm.state.fleet.PaceDigest() != vms[0].state.fleet.PaceDigest() {
+				t.Errorf("%s knows %d paces, want %d, and the same as the others", vm.self.Name, n, targets)
+			}
+		}
+	})
+}
+
 // TestInvalidLeavingReportsAreIgnored has a peer report what cannot be.
 func TestInvalidLeavingReportsAreIgnored(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
