Hold less work, and refuse held plans that full batches make late

Held plans were queued while up to a whole batch of each target preceded them at each stage, so that urgent plans with several stages and little time were refused or late behind work that had begun. The forecast for a held plan assumed batches of typical size, but batches are full while much work is queued; plans without slack were late, and late pieces run last.

Half a batch may precede a held plan. Its forecast uses the duration of full batches, and counts the plans that it refuses as a sign of short capacity. The estimate beside expected arrivals has a margin of 1.2, so that fewer plans wait in vain.

--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -21,6 +21,9 @@
 	// inTimeMargin is the factor by which the time left must exceed a plan's expected time for the plan to count as in time,
 	// since half of the plans take longer than expected.
 	inTimeMargin = 1.07
+	// besideArrivalsMargin is the factor by which plans take longer than their estimate beside those of earlier classes: batches are full then,
+	// and arrivals are not even. Plans that are refused at once can return earlier than those that give way.
+	besideArrivalsMargin = 1.2
 	// plannedThroughput is the fraction of the targets' highest throughput that admission relies on.
 	plannedThroughput = 0.85
 )
@@ -107,7 +110,7 @@
 		backlogs[service] = b
 	}
 	expected, _ := radishbatch.EstimateDuration(backlogs, needs)
-	return expected
+	return time.Duration(besideArrivalsMargin * float64(expected))
 }
 
 // isInTime reports whether the plan is in time if it takes the expected time.
@@ -214,8 +217,7 @@
 	if batch.ResultMemoryBytes <= 0 {
 		return
 	}
-	fullCallTime := batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
-	kept := (fullCallTime + c.byteRetention(service)).Seconds()
+	kept := (fullCallTime(batch) + c.byteRetention(service)).Seconds()
 	for _, t := range c.usableTargets(service, now) {
 		state := c.stateOf(t)
 		backlog.FreeBytes += usableBytes(state.space.FreeBytes(batch.ResultMemoryBytes, now), resultBytes)
@@ -233,8 +235,8 @@
 func (c *Coordinator) addCapacity(
 	backlog *radishbatch.Backlog, service string, resultBytes int64, batch *radishroute.BatchSettings, now time.Time,
 ) {
-	fullCallTime := batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
-	timeLimit := float64(batch.MaxPieces) / fullCallTime.Seconds()
+	fullTime := fullCallTime(batch)
+	timeLimit := float64(batch.MaxPieces) / fullTime.Seconds()
 	for _, t := range c.usableTargets(service, now) {
 		state := c.stateOf(t)
 		backlog.Targets++
@@ -244,7 +246,7 @@
 		perSecond := timeLimit
 		if resultBytes > 0 {
 			results := state.space.AvailableShare(batch.ResultMemoryBytes, now) * float64(batch.ResultMemoryBytes) / float64(resultBytes)
-			perSecond = min(perSecond, results/(fullCallTime+c.expectedRetention(service)).Seconds())
+			perSecond = min(perSecond, results/(fullTime+c.expectedRetention(service)).Seconds())
 		}
 		backlog.PiecesPerSecond += plannedThroughput * perSecond / max(1, state.slowness)
 	}
@@ -274,6 +276,10 @@
 	return batch.CallTime + time.Duration(typicalFill*float64(batch.MaxPieces)*float64(batch.PieceTime))
 }
 
+func fullCallTime(batch *radishroute.BatchSettings) time.Duration {
+	return batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
+}
+
 // typicalTime returns the typical time of a stage of the service when nothing is queued.
 func (c *Coordinator) typicalTime(service string) time.Duration {
 	if batch := c.Batch(service); batch != nil {
--- a/internal/radishstage/hold.go
+++ b/internal/radishstage/hold.go
@@ -18,6 +18,10 @@
 	heldInterval = 20 * time.Millisecond
 )
 
+// heldWork is the work, as a part of a batch of each target, that may precede a held job at each of its stages when it is queued: enough that no
+// target waits for work, and little enough that urgent plans with several stages can be in time behind it.
+const heldWork = 0.5
+
 // mayBeHeld reports whether jobs of the class are held while the targets have enough other work.
 func mayBeHeld(class int) bool { return class > radishbatch.FirstClass+1 }
 
@@ -41,7 +45,7 @@
 }
 
 // queueHeld queues the held jobs whose stages have capacity, those of lower classes first, and then those that are due first. Jobs that
-// would be late are refused if capacity is short, and come last otherwise.
+// would be late are refused if capacity is short or they would have to wait for long, and come last otherwise.
 func (c *Coordinator) queueHeld(now time.Time) {
 	isSoon := now.Sub(c.heldQueuedAt) < heldInterval && len(c.heldJobs) > fewHeldJobs
 	if len(c.heldJobs) == 0 || isSoon {
@@ -55,12 +59,14 @@
 		if !j.isHeld {
 			continue
 		}
-		total, hasCapacity := c.timeFromNow(j, loads, now)
-		if now.Add(total).After(j.plan.Due) && c.isShortFor(j, loads, now) {
-			c.endJob(j, &RefusedError{RetryAfter: max(minRetryAfter, total), Reason: "more urgent plans took the capacity"})
+		f := c.forecastOf(j, loads, now)
+		isWaitLong := f.typical-j.typicalDuration > lateAdmissionMaxWait
+		if !j.plan.isInTime(f.full, now) && (isWaitLong || c.isShortFor(j, loads, now)) {
+			c.recordShortage(j.plan, now)
+			c.endJob(j, &RefusedError{RetryAfter: max(minRetryAfter, f.typical), Reason: "more urgent plans took the capacity"})
 			continue
 		}
-		if hasCapacity {
+		if f.hasCapacity {
 			j.addTo(loads, now)
 			c.unhold(j)
 			c.advance(j)
@@ -103,6 +109,8 @@
 // serviceLoad is the load of a stage service without the held jobs.
 type serviceLoad struct {
 	radishbatch.Backlog
+	// fullBatchTime is the duration of a full batch.
+	fullBatchTime time.Duration
 	// isShort is whether the capacity is too small for this load and the held jobs together.
 	isShort bool
 }
@@ -126,7 +134,7 @@
 	if batch == nil {
 		return l
 	}
-	l.TypicalBatchTime = typicalCallTime(batch)
+	l.TypicalBatchTime, l.fullBatchTime = typicalCallTime(batch), fullCallTime(batch)
 	c.addCapacityAndSpace(&l.Backlog, s.Service, s.ResultBytes, batch, now)
 	if q := c.queues[s.Service]; q != nil {
 		q.AddToDemand(&l.Demand, now)
@@ -149,23 +157,31 @@
 	}
 }
 
-// timeFromNow returns the estimated time of the job if it is queued now, and whether the targets of each stage will have done most of the work
-// that precedes it when the job gets there. One more batch is left to them, so that they never wait for work.
-func (c *Coordinator) timeFromNow(j *job, loads map[string]*serviceLoad, now time.Time) (total time.Duration, hasCapacity bool) {
-	ends := make([]time.Duration, len(j.plan.Stages))
-	hasCapacity = true
+// forecast is what is expected of a held job if it is queued now.
+type forecast struct {
+	// typical is its time if batches are of typical size, full if they are full, as they are when much work is queued.
+	typical, full time.Duration
+	// hasCapacity is whether the targets of each stage will have done most of the work that precedes the job when it gets there.
+	hasCapacity bool
+}
+
+// forecastOf estimates the time of the job if it is queued now.
+func (c *Coordinator) forecastOf(j *job, loads map[string]*serviceLoad, now time.Time) forecast {
+	ends, fullEnds := make([]time.Duration, len(j.plan.Stages)), make([]time.Duration, len(j.plan.Stages))
+	f := forecast{hasCapacity: true}
 	for i, s := range j.plan.Stages {
 		for _, dep := range s.After {
-			ends[i] = max(ends[i], ends[dep])
+			ends[i], fullEnds[i] = max(ends[i], ends[dep]), max(fullEnds[i], fullEnds[dep])
 		}
 		if s.Pieces == 0 {
 			continue
 		}
 		l := c.loadOf(s, loads, now)
 		wait := max(0, l.TimeOf(l.pieces(j.dueTimes[i].Sub(now)), int64(s.Pieces)*s.ResultBytes)-ends[i])
-		hasCapacity = hasCapacity && wait <= l.TypicalBatchTime
+		f.hasCapacity = f.hasCapacity && wait <= time.Duration(heldWork*float64(l.TypicalBatchTime))
 		ends[i] += wait + l.TypicalBatchTime
-		total = max(total, ends[i])
+		fullEnds[i] += wait + l.fullBatchTime
+		f.typical, f.full = max(f.typical, ends[i]), max(f.full, fullEnds[i])
 	}
-	return total, hasCapacity
+	return f
 }
