--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -207,8 +207,14 @@
 		}
 	}
 	c.Metrics.RecordPlan(outcomeOf(err), priorityLabel(j.plan))
-	c.Log.Info("plan ended", "id", j.plan.CallID, "took_ms", time.Since(j.admittedAt).Milliseconds(), "expected_ms", j.expected.Milliseconds(),
-		"due_ms", j.plan.Due.Sub(j.admittedAt).Milliseconds(), "jobs", len(c.jobs), "error", radishlog.ErrorText(err))
+	fields := []any{
+		"id", j.plan.CallID, "took_ms", time.Since(j.admittedAt).Milliseconds(), "expected_ms", j.expected.Milliseconds(),
+		"due_ms", j.plan.Due.Sub(j.admittedAt).Milliseconds(), "jobs", len(c.jobs), "error", radishlog.ErrorText(err),
+	}
+	if u := j.plan.Urgency; u != nil {
+		fields = append(fields, "priority", u.Priority, "team", u.Team)
+	}
+	c.Log.Info("plan ended", fields...)
 	close(j.done)
 }
 
