Expect full batches when admitting plans that may be held

Held plans are refused when full batches would make them late, while admission assumed batches of typical size, so that plans were admitted that then waited in vain.

While more than a batch of each target waits, plans below the most urgent class must be in time with full batches.

--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -110,7 +110,21 @@
 		backlogs[service] = b
 	}
 	expected, _ := radishbatch.EstimateDuration(backlogs, needs)
-	return time.Duration(besideArrivalsMargin * float64(expected))
+	return max(time.Duration(besideArrivalsMargin*float64(expected)), c.withFullBatches(p, through, needs, now))
+}
+
+// withFullBatches returns the estimated time of a plan that is held until its stages can take it soon, behind the work of the classes up to
+// the given one: batches are full while much work waits.
+func (c *Coordinator) withFullBatches(p *Plan, through int, needs []radishbatch.StageWork, now time.Time) time.Duration {
+	backlogs := c.serviceBacklogs(p, radishbatch.FirstClass, through, now)
+	for service, b := range backlogs {
+		if b.TimeOf(b.Demand.Total(), 0) > b.TypicalBatchTime {
+			b.TypicalBatchTime = fullCallTime(c.Batch(service))
+		}
+		backlogs[service] = b
+	}
+	expected, _ := radishbatch.EstimateDuration(backlogs, needs)
+	return expected
 }
 
 // isInTime reports whether the plan is in time if it takes the expected time.
