Leave no margin for expected arrivals while nothing waits

The margin of the estimate beside expected arrivals applied on idle stages too, so that a less urgent plan with just enough time was refused once the floor of its priority was used up.

The margin is at most as long as the wait. TestIdleStagesAdmitLessUrgentPlans failed before: 3 of 6 plans refused.

--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -21,9 +21,9 @@
 	// inTimeMargin is the factor by which the time left must exceed a plan's expected time for the plan to count as in time,
 	// since half of the plans take longer than expected.
 	inTimeMargin = 1.07
-	// besideArrivalsMargin is the factor by which plans take longer than their estimate beside those of earlier classes: batches are full then,
-	// and arrivals are not even. Plans that are refused at once can return earlier than those that give way.
-	besideArrivalsMargin = 1.2
+	// besideArrivalsMargin is the part of their estimated time that plans may take in addition beside those of earlier classes, whose arrivals
+	// are not even. Plans that are refused at once can return earlier than those that give way.
+	besideArrivalsMargin = 0.2
 	// plannedThroughput is the fraction of the targets' highest throughput that admission relies on.
 	plannedThroughput = 0.85
 )
@@ -98,8 +98,8 @@
 	return expected, p.isInTime(expected, now) && !radishbatch.DelaysOthers(backlogs, needs)
 }
 
-// besideArrivals returns the estimated time of the plan if the plans of earlier classes take the capacity that they are expected to ask for,
-// and the waiting work of the plan's class up to the given one shares the rest.
+// besideArrivals returns the estimated time of a plan that may be held if the plans of earlier classes take the capacity that they are expected
+// to ask for, and the waiting work of the plan's class up to the given one shares the rest; 0 for other plans.
 func (c *Coordinator) besideArrivals(p *Plan, class, through int, needs []radishbatch.StageWork, now time.Time) time.Duration {
 	if !mayBeHeld(class) {
 		return 0
@@ -110,7 +110,10 @@
 		backlogs[service] = b
 	}
 	expected, _ := radishbatch.EstimateDuration(backlogs, needs)
-	return max(time.Duration(besideArrivalsMargin*float64(expected)), c.withFullBatches(p, through, needs, now))
+	unloaded, _ := radishbatch.EstimateDuration(radishbatch.Unloaded(backlogs), needs)
+	// While little waits, the estimate is reliable.
+	margin := min(expected-unloaded, time.Duration(besideArrivalsMargin*float64(expected)))
+	return max(expected+margin, c.withFullBatches(p, through, needs, now))
 }
 
 // withFullBatches returns the estimated time of a plan that is held until its stages can take it soon, behind the work of the classes up to
--- a/internal/radishstage/floor_test.go
+++ b/internal/radishstage/floor_test.go
@@ -1,6 +1,7 @@
 package radishstage
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,3 +59,26 @@
 		t.Errorf("the urgent calls got %.2f of the capacity", urgent)
 	}
 }
+
+// TestIdleStagesAdmitLessUrgentPlans runs less urgent plans that have just enough time one after the other. Each must be admitted, as it would
+// be without a priority, also after the floor of its priority is used up.
+func TestIdleStagesAdmitLessUrgentPlans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newCoordinator(2)
+		for n := range 6 {
+			p := newPlan(fmt.Sprint("call-", n), 2200*time.Millisecond)
+			p.Urgency = urgency(2)
+			p.Stages = nil
+			for i := range 6 {
+				stage := Stage{Service: []string{"enc", "rank"}[i%2], Pieces: 5, ResultBytes: 100}
+				if i > 0 {
+					stage.After = []int{i - 1}
+				}
+				p.Stages = append(p.Stages, stage)
+			}
+			if _, err := c.Run(t.Context(), p); err != nil {
+				t.Errorf("%s: %v", p.CallID, err)
+			}
+		}
+	})
+}
