--- a/pkg/radish/record.go
+++ b/pkg/radish/record.go
@@ -19,9 +19,11 @@
 	RecordTarget     RecordKind = "target"
 	RecordEvacuation RecordKind = "evacuation"
 	RecordVM         RecordKind = "vm"
+	RecordRollout    RecordKind = "rollout"
 )
 
-// RecordKinds lists the kinds of records that an entry VM watches.
+// RecordKinds lists the kinds of records that every entry VM watches. Where the settings limit the exposure of versions, it watches
+// [RecordRollout] too.
 var RecordKinds = []RecordKind{RecordConfig, RecordTarget, RecordEvacuation, RecordVM}
 
 // Record is an object of the platform's store with its value still encoded.
--- a/pkg/radish/site.go
+++ b/pkg/radish/site.go
@@ -32,4 +32,11 @@
 	// the first value, plus the second.
 	ColdRateFactor    float64
 	ColdRateAllowance float64
+	// HasExposureLimit is whether the settings limit the exposure of new versions, so that rollouts are in force.
+	HasExposureLimit bool
+	// The limit on the calls that all VMs together may send to a bad version: the share of the service's calls, plus the slack. After its
+	// 50th bad response, calls may be sent to it for RevertWithin.
+	ExposureShare float64
+	ExposureSlack float64
+	RevertWithin  time.Duration
 }
--- a/pkg/radish/target.go
+++ b/pkg/radish/target.go
@@ -26,6 +26,8 @@
 	Leaving    bool
 	// Slots is the number of attempts that the target runs concurrently; 0 means unknown.
 	Slots int
+	// Version is the version of the service that the target runs; "" means unknown.
+	Version string
 	// ColdRemaining is the remaining time, when the target reported it, until the target is warm.
 	ColdRemaining time.Duration
 	// StartedUnixMilli is the start time in Unix milliseconds; it distinguishes restarts under the same name.
