Let a gate decide which versions of a service get calls

Every choice of a target (by load and affinity, of ejected and cold targets, of the usable targets of a service or a shard) asks a VersionGate, if there is one. With a gate, the targets of each version are spread over the shards, and the number of shards does not change while two versions run side by side. Without a gate, nothing changes.

--- a/pkg/radishfleet/engine.go
+++ b/pkg/radishfleet/engine.go
@@ -68,6 +68,7 @@
 func (f *Fleet) AffinityDataCentre(q Query, now time.Time) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	q.versions = f.versionsFor(q.Service, q.Route, 0, now)
 	candidates := f.warmTargets(q, now)
 	if s := f.pickByHash(q, candidates, candidates, now); s != nil {
 		return s.target.DataCentre
@@ -90,8 +91,9 @@
 
 func (f *Fleet) countByDataCentre(service string, now time.Time) map[string]float64 {
 	counts := make(map[string]float64)
+	versions := f.versionsFor(service, "", 0, now)
 	for _, s := range f.byService[service] {
-		if f.isAvailable(s, now) {
+		if f.isAvailable(s, versions, now) {
 			counts[s.target.DataCentre]++
 		}
 	}
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -30,6 +30,8 @@
 	DataCentre string
 	// ColdQuota returns how many calls per second this VM may send to the cold target; nil means no limit.
 	ColdQuota func(t radish.Target) int
+	// Versions decides which versions of a service may get calls; nil means all of them.
+	Versions VersionGate
 
 	mu        sync.Mutex
 	targets   map[string]*targetState
@@ -42,6 +44,9 @@
 	// leaving holds, by name, the targets that announced in a response that they leave. It outlasts their records.
 	leaving         map[string]LeavingTarget
 	dataCentreLinks map[string]*dataCentreLink
+	// heldUntil holds, by service and version, when a version may get calls that has no order. holdsVersions is whether new versions wait.
+	heldUntil     map[string]map[string]time.Time
+	holdsVersions bool
 }
 
 // targetState is the VM's state of one target, from its record, its load reports and the outcomes of this VM's calls.
@@ -77,7 +82,8 @@
 		f.newestAt = make(map[string]*targetState)
 	}
 	s := f.targets[t.Name]
-	isNew := s == nil || s.target.StartedUnixMilli != t.StartedUnixMilli || s.target.Address != t.Address || s.target.Service != t.Service
+	isNew := s == nil || s.target.StartedUnixMilli != t.StartedUnixMilli || s.target.Address != t.Address || s.target.Service != t.Service ||
+		f.Versions != nil && s.target.Version != t.Version
 	if isNew {
 		f.remove(t.Name)
 		s = &targetState{}
@@ -87,6 +93,7 @@
 	}
 	isChange := isNew || s.target.Leaving != t.Leaving
 	s.target, s.updatedAt = t, now
+	f.recordVersion(t, now)
 	f.claimAddress(s)
 	s.coldUntil = now.Add(t.ColdRemaining)
 	return isChange
@@ -167,9 +174,10 @@
 		RecordAge: now.Sub(s.updatedAt), CallsInFlight: int(s.load(now)), FailureRate: s.decayedFailureRate(now),
 		ErrorRate: s.errorResponses.at(now), IsCold: now.Before(s.coldUntil),
 	}
+	versions := f.versionsFor(s.target.Service, "", 0, now)
 	for _, other := range f.byService[s.target.Service] {
 		snapshot.TotalTargets++
-		if f.isAvailable(other, now) {
+		if f.isAvailable(other, versions, now) {
 			snapshot.UsableTargets++
 		}
 	}
@@ -179,6 +187,8 @@
 // Query describes the target that a call needs.
 type Query struct {
 	Service string
+	// Route is the route of the call, with the size of its prompt where that matters, by which versions are compared.
+	Route string
 	// Exclude holds the targets that the call must not be sent to again.
 	Exclude map[string]bool
 	// AffinityKey is the shared part of the prompt, by which calls are sent to the same engine; "" disables affinity.
@@ -190,6 +200,8 @@
 	DataCentreWeights map[string]float64
 	// HasColdLimit is whether cold targets of the service are limited to ColdQuota.
 	HasColdLimit bool
+
+	versions *versionFilter
 }
 
 // Pick chooses a target and counts the call as in flight there until Done is called; ok is false when no target can
@@ -197,24 +209,38 @@
 func (f *Fleet) Pick(q Query, now time.Time) (t radish.Target, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.pickBest(q, f.warmTargets(q, now), now)
-	if s == nil {
-		s = f.pickCold(q, now)
-	}
+	s := f.pick(q, now)
 	if s == nil {
 		return radish.Target{}, false
 	}
 	s.recordSend()
+	f.RecordVersionSend(s.target, q.Route, 1, now)
 	return s.target, true
 }
 
+// pick chooses a target of the service's candidate if the call is admitted there, and of the other versions otherwise.
+func (f *Fleet) pick(q Query, now time.Time) *targetState {
+	q.versions = f.versionsFor(q.Service, q.Route, 1, now)
+	if candidates := f.candidates(q.Service, q.versions, now, anyTarget); candidates != nil {
+		admitted := q
+		admitted.versions = candidates
+		if s := f.pickBest(admitted, f.warmTargets(admitted, now), now); s != nil {
+			return s
+		}
+	}
+	if s := f.pickBest(q, f.warmTargets(q, now), now); s != nil {
+		return s
+	}
+	return f.pickCold(q, now)
+}
+
 // warmTargets returns the targets that may take the call. It falls back to ejected and unreachable ones if there are
 // no others.
 func (f *Fleet) warmTargets(q Query, now time.Time) []*targetState {
 	var warm, ejected []*targetState
 	for _, s := range f.byService[q.Service] {
 		switch {
-		case !f.isUsable(s, now), q.Exclude[s.target.Name], q.HasColdLimit && now.Before(s.coldUntil):
+		case !f.isUsable(s, q.versions, now), q.Exclude[s.target.Name], q.HasColdLimit && now.Before(s.coldUntil):
 		case f.isExcluded(s, now):
 			ejected = append(ejected, s)
 		default:
@@ -229,7 +255,7 @@
 
 func (f *Fleet) pickCold(q Query, now time.Time) *targetState {
 	for _, s := range f.byService[q.Service] {
-		if !f.isUsable(s, now) || q.Exclude[s.target.Name] || !now.Before(s.coldUntil) {
+		if !f.isUsable(s, q.versions, now) || q.Exclude[s.target.Name] || !now.Before(s.coldUntil) {
 			continue
 		}
 		s.coldSentAt = slices.DeleteFunc(s.coldSentAt, func(at time.Time) bool { return now.Sub(at) > coldWindow })
--- a/pkg/radishfleet/pause.go
+++ b/pkg/radishfleet/pause.go
@@ -45,11 +45,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var first time.Time
+	versions := f.versionsFor(service, "", 0, now)
 	for _, s := range f.byService[service] {
-		if f.isUsable(s, now) {
+		if f.isUsable(s, versions, now) {
 			return 0
 		}
-		if f.isInService(s) && (first.IsZero() || s.pausedUntil.Before(first)) {
+		if versions.allows(s) && f.isInService(s) && (first.IsZero() || s.pausedUntil.Before(first)) {
 			first = s.pausedUntil
 		}
 	}
@@ -67,8 +68,12 @@
 func (f *Fleet) HasUsableTarget(service string, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.hasUsable(service, f.versionsFor(service, "", 0, now), now)
+}
+
+func (f *Fleet) hasUsable(service string, v *versionFilter, now time.Time) bool {
 	for _, s := range f.byService[service] {
-		if f.isUsable(s, now) {
+		if f.isUsable(s, v, now) {
 			return true
 		}
 	}
--- a/pkg/radishfleet/shard.go
+++ b/pkg/radishfleet/shard.go
@@ -31,7 +31,7 @@
 	}
 	total, smallest := 0, math.MaxInt
 	for _, service := range services {
-		n := len(f.byService[service])
+		n := f.shardableTargets(service)
 		total += n
 		smallest = min(smallest, n)
 	}
@@ -39,6 +39,21 @@
 	return max(1, min(total/len(services)/perShard, smallest/minTargetsPerShard))
 }
 
+// shardableTargets returns the number of targets by which the service is divided. While versions are replaced, the targets of the old and
+// of the new one run side by side, and only those of one of them get most of the work.
+func (f *Fleet) shardableTargets(service string) int {
+	if f.Versions == nil {
+		return len(f.byService[service])
+	}
+	most := 0
+	counts := make(map[string]int)
+	for _, s := range f.byService[service] {
+		counts[s.target.Version]++
+		most = max(most, counts[s.target.Version])
+	}
+	return most
+}
+
 // shardAssignment maps the targets of a service to shards by name.
 type shardAssignment struct {
 	shards  int
@@ -50,32 +65,51 @@
 func (f *Fleet) UsableTargetsInShard(service string, shard, shards int, now time.Time) []radish.Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	versions := f.versionsFor(service, "", 0, now)
+	targets := f.availableTargets(service, versions, now, f.shardCondition(service, shard, shards))
+	if len(targets) == 0 && versions != nil && versions.rule.Use == CandidateOnly {
+		// The new version may have fewer targets than there are shards.
+		return f.availableTargets(service, versions, now, anyTarget)
+	}
+	return targets
+}
+
+// shardCondition returns the condition that a target of the service is in the shard.
+func (f *Fleet) shardCondition(service string, shard, shards int) func(s *targetState) bool {
+	if shards <= 1 {
+		return anyTarget
+	}
 	assignment := f.assignments[service]
 	if assignment == nil || assignment.shards != shards {
-		assignment = assignShards(f.byService[service], shards)
+		assignment = assignShards(f.byService[service], shards, f.Versions != nil)
 		if f.assignments == nil {
 			f.assignments = make(map[string]*shardAssignment)
 		}
 		f.assignments[service] = assignment
 	}
-	return f.availableTargets(service, now, func(s *targetState) bool { return assignment.shardOf[s.target.Name] == shard })
+	return func(s *targetState) bool { return assignment.shardOf[s.target.Name] == shard }
 }
 
 // assignShards spreads the targets of each data centre evenly over the shards; the remainder goes to the shards with
 // the fewest targets. Within these quotas, each target goes to its preferred shard by rendezvous hashing, so that few
-// targets move when one is added or removed.
-func assignShards(states []*targetState, shards int) *shardAssignment {
-	byDataCentre := make(map[string][]string)
+// targets move when one is added or removed. If byVersion is set, the targets of each version are spread evenly too.
+func assignShards(states []*targetState, shards int, byVersion bool) *shardAssignment {
+	byGroup := make(map[[2]string][]string)
 	for _, s := range states {
-		byDataCentre[s.target.DataCentre] = append(byDataCentre[s.target.DataCentre], s.target.Name)
+		group := [2]string{s.target.DataCentre}
+		if byVersion {
+			group[1] = s.target.Version
+		}
+		byGroup[group] = append(byGroup[group], s.target.Name)
 	}
 	quotas := make([]*shardQuota, shards)
 	for i := range quotas {
 		quotas[i] = &shardQuota{shard: i}
 	}
 	assignment := &shardAssignment{shards: shards, shardOf: make(map[string]int, len(states))}
-	for _, dataCentre := range slices.Sorted(maps.Keys(byDataCentre)) {
-		targets := byDataCentre[dataCentre]
+	groups := slices.SortedFunc(maps.Keys(byGroup), func(a, b [2]string) int { return slices.Compare(a[:], b[:]) })
+	for _, group := range groups {
+		targets := byGroup[group]
 		slices.Sort(targets)
 		allotQuotas(quotas, len(targets))
 		for _, target := range targets {
--- a/pkg/radishfleet/shard_test.go
+++ b/pkg/radishfleet/shard_test.go
@@ -44,11 +44,11 @@
 	}
 	moved := 0
 	for i := range targets {
-		before := assignShards(f.byService["s"], shards).shardOf
+		before := assignShards(f.byService["s"], shards, false).shardOf
 		name := fmt.Sprintf("i-%x", i*7919%251)
 		crashed := f.targets[name].target
 		f.Remove(name)
-		for other, shard := range assignShards(f.byService["s"], shards).shardOf {
+		for other, shard := range assignShards(f.byService["s"], shards, false).shardOf {
 			if shard != before[other] {
 				moved++
 			}
