Count results of calls and batches by version and route

An attempt whose target could not be reached, that was refused as not run, or whose connection was cut says nothing about the version; one whose time was up was slow. Batches at a new version are as large as their pieces are admitted, and the time of a batch counts in proportion to its expected time.

--- a/internal/radishmetric/metric.go
+++ b/internal/radishmetric/metric.go
@@ -28,6 +28,8 @@
 	plans          metric.Int64Counter
 	callSeconds    metric.Float64Histogram
 	callPieces     metric.Int64Histogram
+	versionCalls   metric.Int64Counter
+	versionErrors  metric.Int64Counter
 
 	mu sync.RWMutex
 	// options caches the attribute sets of measurements by instrument and attribute values.
@@ -50,7 +52,7 @@
 }
 
 func (m *Metrics) createInstruments() error {
-	var errs [9]error
+	var errs [11]error
 	m.requests, errs[0] = m.meter.Int64Counter("radishramp_requests", metric.WithDescription("Requests by pipeline and outcome."))
 	m.requestSeconds, errs[1] = m.meter.Float64Histogram("radishramp_request_seconds",
 		metric.WithDescription("Time from a request's arrival to the end of its answer."),
@@ -65,6 +67,10 @@
 		metric.WithExplicitBucketBoundaries(1, 2, 5, 10, 20, 50))
 	m.cutAttempts, errs[8] = m.meter.Int64Counter("radishramp_cut_attempts",
 		metric.WithDescription("Attempts whose connection ended before the response was complete, by service and state of the target."))
+	m.versionCalls, errs[9] = m.meter.Int64Counter("radishramp_version_calls",
+		metric.WithDescription("Calls sent to targets, each piece of a stage as one, by service and version."))
+	m.versionErrors, errs[10] = m.meter.Int64Counter("radishramp_version_failures",
+		metric.WithDescription("Responses that count as failures of the version, by service and version."))
 	return trace.NewAggregate(errs[:]...)
 }
 
@@ -90,6 +96,7 @@
 		"plan":    {"outcome", ""},
 		"call":    {"service", "result"},
 		"pieces":  {"service", ""},
+		"version": {"service", "version"},
 	}[instrument]
 	attributes := []attribute.KeyValue{attribute.String(names[0], first)}
 	if names[1] != "" {
@@ -170,6 +177,20 @@
 	m.callPieces.Record(context.Background(), int64(pieces), m.attributeOption("pieces", service, ""))
 }
 
+// RecordVersionCalls records calls that are sent to targets of the version.
+func (m *Metrics) RecordVersionCalls(service, version string, calls int) {
+	if m != nil {
+		m.versionCalls.Add(context.Background(), int64(calls), m.attributeOption("version", service, version))
+	}
+}
+
+// RecordVersionFailures records responses that count as failures of the version.
+func (m *Metrics) RecordVersionFailures(service, version string, failures int) {
+	if m != nil && failures > 0 {
+		m.versionErrors.Add(context.Background(), int64(failures), m.attributeOption("version", service, version))
+	}
+}
+
 // RegisterGauge registers a gauge. The read function returns its value and is called at each collection.
 func (m *Metrics) RegisterGauge(name, description string, read func() float64) error {
 	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
--- a/internal/radishrelay/attempt.go
+++ b/internal/radishrelay/attempt.go
@@ -34,6 +34,7 @@
 		outcome.Down = e.recordCutAttempt(t)
 	}
 	e.relay.Fleet.Done(t.Name, outcome, time.Now())
+	e.relay.Fleet.RecordVersionResult(t, e.versionResult(resp, err, outcome, time.Since(startedAt)), time.Now())
 	e.relay.Metrics.RecordAttempt(e.service.Name, attemptLabel(d, outcome))
 	e.relay.Log.Info("attempt ended", "id", e.call.ID, "target", t.Name, "data_centre", t.DataCentre, "verdict", attemptLabel(d, outcome),
 		"status", statusOf(resp), "took_ms", time.Since(startedAt).Milliseconds(), "left_ms", req.Timeout.Milliseconds(),
--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -116,7 +116,7 @@
 }
 
 func (e *exchange) targetQuery() radishfleet.Query {
-	q := radishfleet.Query{Service: e.service.Name, Exclude: e.triedTargets, HasColdLimit: e.service.ColdCallsPerSec > 0}
+	q := radishfleet.Query{Service: e.service.Name, Route: e.versionRoute(), Exclude: e.triedTargets, HasColdLimit: e.service.ColdCallsPerSec > 0}
 	if e.service.IsEngine {
 		q.AffinityKey, q.DataCentreWeights = sharedPromptPrefix(e.call.Prompt), e.affinityWeights
 		if e.hasLargeInputs() && !e.isPromptCostlierThanInputs() {
--- a/internal/radishstage/dispatch.go
+++ b/internal/radishstage/dispatch.go
@@ -18,8 +18,10 @@
 	usable := c.usableTargets(service, now)
 	idle := c.idleTargets(usable, batch, now)
 	d := &serviceDispatch{
-		service: service, queue: q, batch: batch, usableTargets: len(usable), usableDataCentres: dataCentresOf(usable), now: now,
+		service: service, queue: q, batch: batch, maxPieces: batch.MaxPieces, usableTargets: len(usable),
+		usableDataCentres: dataCentresOf(usable), now: now,
 	}
+	c.startCandidateBatches(*d, idle)
 	idle = c.startBatches(d, idle, dataCentresOf(idle))
 	c.startBatches(d, idle, nil)
 }
@@ -29,6 +31,7 @@
 	service           string
 	queue             *radishbatch.Queue
 	batch             *radishroute.BatchSettings
+	maxPieces         int
 	usableTargets     int
 	usableDataCentres map[string]bool
 	now               time.Time
@@ -40,7 +43,7 @@
 	for n, t := range idle {
 		spec := radishbatch.BatchSpec{
 			Target: t.Name, DataCentre: t.DataCentre,
-			MaxPieces: d.batch.MaxPieces, MaxResultBytes: c.stateOf(t).space.FreeBytes(d.batch.ResultMemoryBytes, d.now),
+			MaxPieces: d.maxPieces, MaxResultBytes: c.stateOf(t).space.FreeBytes(d.batch.ResultMemoryBytes, d.now),
 			Overhead: d.batch.CallTime, PieceTime: d.batch.PieceTime,
 			IdleTargets: len(stillIdle) + len(idle) - n, UsableTargets: d.usableTargets,
 			UsableDataCentres: d.usableDataCentres, ReservedDataCentres: reserved,
--- a/internal/radishstage/stage_call.go
+++ b/internal/radishstage/stage_call.go
@@ -33,6 +33,7 @@
 	t radish.Target, service string, batch *radishroute.BatchSettings, items []*radishbatch.Item, now time.Time,
 ) {
 	c.stateOf(t).activeCalls++
+	c.Fleet.RecordVersionSend(t, versionRoute, len(items), now)
 	expected := batch.CallTime + time.Duration(len(items))*batch.PieceTime
 	tracked := c.stateOf(t).space.TrackedBytes(now)
 	pieces := make([]radish.Piece, len(items))
@@ -121,6 +122,7 @@
 	now := time.Now()
 	s := c.stateOf(call.target)
 	s.activeCalls = max(0, s.activeCalls-1)
+	c.Fleet.RecordVersionResult(call.target, call.versionResult(), now)
 	c.Metrics.RecordStageCall(call.service, call.took, len(call.items), call.err == nil)
 	c.Log.Debug("stage call ended", "target", call.target.Name, "service", call.service, "pieces", len(call.items),
 		"took_ms", call.took.Milliseconds(), "expected_ms", call.expected.Milliseconds(),
--- a/pkg/radishfleet/version.go
+++ b/pkg/radishfleet/version.go
@@ -46,6 +46,8 @@
 	CandidateOnly
 	// CandidateLast keeps calls from the candidate unless the service has no target of another version.
 	CandidateLast
+	// CandidateFirst sends calls to no other version unless the service has no target of the candidate.
+	CandidateFirst
 )
 
 // VersionRule tells which versions of a service may get calls. The zero value allows all.
@@ -124,6 +126,10 @@
 func (f *Fleet) VersionTargets(service, version string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.countStaying(service, version)
+}
+
+func (f *Fleet) countStaying(service, version string) int {
 	n := 0
 	for _, s := range f.byService[service] {
 		if s.target.Version == version && f.isStaying(s) {
@@ -164,8 +170,13 @@
 		return nil
 	}
 	v := &versionFilter{rule: f.Versions.Versions(service, route, calls, now)}
-	if v.rule.Use == CandidateLast && !f.hasOtherVersion(service, v.rule.Candidate) {
+	switch {
+	case v.rule.Use == CandidateLast && !f.hasOtherVersion(service, v.rule.Candidate):
+		v.rule = VersionRule{}
+	case v.rule.Use == CandidateFirst && f.countStaying(service, v.rule.Candidate) == 0:
 		v.rule = VersionRule{}
+	case v.rule.Use == CandidateFirst:
+		v.rule.Use = CandidateOnly
 	}
 	for version, until := range f.heldUntil[service] {
 		if now.Before(until) && version != v.rule.Candidate {
