Decide on rollouts: exposure, evidence, verdict and phases

Moving a service's traffic to a new version by time alone sends it all to a bad one, and one VM sees too few calls to notice. Each VM now limits by itself what it sends to the candidate, merges grow-only counts with its peers, and compares the versions by window and route with a sequential probability ratio test. One bad target among several is avoided before the version is blamed.

--- a/pkg/radishrollout/evidence.go
+++ b/pkg/radishrollout/evidence.go
@@ -2,6 +2,19 @@
 
 import "time"
 
+// Limits on the evidence that is kept and taken from peers.
+const (
+	MaxSources = 256
+	// MaxRoutes limits the routes of a source; calls on further ones count as calls on OtherRoute.
+	MaxRoutes = 32
+	// MaxTargets limits the candidate's targets that a source counts on a route.
+	MaxTargets = 8
+	// MaxNameBytes limits the names of VMs, routes and targets.
+	MaxNameBytes = 128
+	// OtherRoute stands for the routes that are not counted by name.
+	OtherRoute = "*"
+)
+
 // Evidence is what a source counted since the order. Its counters only grow.
 type Evidence struct {
 	Source Source
@@ -13,9 +26,9 @@
 	Phase Phase
 	// OldInFlight is the number of calls in flight at old targets at that time.
 	OldInFlight int
-	Routes      []RouteEvidence
-	// Targets holds the results of the candidate's targets.
-	Targets []TargetEvidence
+	// Suspect is the candidate's target that the source avoids, "" if there is none.
+	Suspect string
+	Routes  []RouteEvidence
 }
 
 // RouteEvidence is what a source counted on a route.
@@ -23,6 +36,8 @@
 	Route string
 	// Old and Candidate are the counts of the versions before the order, together, and of the order's version.
 	Old, Candidate VersionCounts
+	// Targets are the results of the candidate's targets on the route.
+	Targets []TargetEvidence
 }
 
 // VersionCounts are the counts of a version on a route.
--- a/pkg/radishrollout/order.go
+++ b/pkg/radishrollout/order.go
@@ -70,7 +70,7 @@
 	PhaseCompleted Phase = "completed"
 )
 
-// rank orders phases; the higher one of two VMs applies.
+// rank orders phases; of two reports, the higher one applies.
 func (p Phase) rank() int {
 	switch p {
 	case PhaseRamping:
@@ -85,14 +85,6 @@
 	return 0
 }
 
-// later returns the later one of two phases.
-func later(a, b Phase) Phase {
-	if b.rank() > a.rank() {
-		return b
-	}
-	return a
-}
-
 // Decision is what a VM does with the rollout now. Completed and Reverted are to be written to the store; what is there applies.
 type Decision struct {
 	Phase Phase
--- /dev/null
+++ b/pkg/radishrollout/suspect.go
@@ -0,0 +1,79 @@
+package radishrollout
+
+import "time"
+
+const (
+	// minSuspectBad is the number of bad responses from which it is judged whether they come from one target.
+	minSuspectBad = 4
+	// suspectShare is the share of the candidate's bad responses that come from one target if that is suspected.
+	suspectShare = 0.8
+	// settleTime is the time until all VMs avoid the suspected target and its last responses have come.
+	settleTime = time.Second
+)
+
+// suspect is a target of the candidate whose responses are bad. During the observation a few targets get all calls, so that a
+// single faulty one looks like a bad version. It is avoided once, and the comparison begins anew with the others.
+type suspect struct {
+	target string
+	// settledAt is when the comparison begins anew, responses the number of the candidate's responses then.
+	settledAt time.Time
+	isSettled bool
+	responses uint64
+}
+
+// SuspectTarget returns the candidate's target that must get no calls while the rollout runs, "" if there is none.
+func (r *Rollout) SuspectTarget() string { return r.suspect.target }
+
+// judge turns the comparison into a verdict, unless another target is to be tried first.
+func (r *Rollout) judge(now time.Time) {
+	target := suspectOf(r.totals)
+	switch {
+	case r.suspect.target == "" && target != "" && r.Targets > 1 && r.isInDoubt():
+		r.startSuspecting(target, now)
+	case r.suspect.target != "" && !r.suspect.isSettled:
+		r.settle(now)
+	case r.comparison.isBad():
+		r.verdict = r.comparison.describe()
+	}
+}
+
+func (r *Rollout) startSuspecting(target string, now time.Time) {
+	r.suspect = suspect{target: target, settledAt: now.Add(settleTime)}
+	r.self().suspect = target
+}
+
+// settle begins the comparison anew when no more responses of the suspected target are expected.
+func (r *Rollout) settle(now time.Time) {
+	if now.Before(r.suspect.settledAt) {
+		return
+	}
+	r.suspect.isSettled = true
+	_, r.suspect.responses = r.evidenceCounts()
+	r.comparison.restart()
+}
+
+// isTryingOthers reports whether too few responses of targets other than the suspected one have come.
+func (r *Rollout) isTryingOthers() bool {
+	if r.suspect.target == "" {
+		return false
+	}
+	_, responses := r.evidenceCounts()
+	return !r.suspect.isSettled || responses < r.suspect.responses+minResponses
+}
+
+// suspectOf returns the target from which nearly all bad responses come, "" if there is none.
+func suspectOf(totals map[string]*RouteEvidence) string {
+	sum, bad := uint64(0), make(map[string]uint64)
+	for _, counts := range totals {
+		for _, t := range counts.Targets {
+			bad[t.Target] += t.Bad
+			sum += t.Bad
+		}
+	}
+	for name, n := range bad {
+		if n >= minSuspectBad && float64(n) >= suspectShare*float64(sum) {
+			return name
+		}
+	}
+	return ""
+}
