Carry out orders to roll out a version

Where the settings limit the exposure of versions, a VM follows the orders in the store, keeps the rollout of each, asks it at every choice of a target, exchanges evidence with its peers in heartbeats and writes the status by turns.

--- a/cmd/doctor_site.go
+++ b/cmd/doctor_site.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,7 +31,11 @@
 	}
 	store := &radishadapter.StoreClient{Address: site.StoreAddress, HTTP: &http.Client{Transport: radishadapter.NewTransport(true)}}
 	records := make(map[radish.RecordKind][]radish.Record)
-	for _, kind := range radish.RecordKinds {
+	kinds := radish.RecordKinds
+	if site.HasExposureLimit {
+		kinds = append(slices.Clip(kinds), radish.RecordRollout)
+	}
+	for _, kind := range kinds {
 		startedAt := time.Now()
 		kindRecords, _, err := store.List(ctx, kind)
 		records[kind] = kindRecords
@@ -38,6 +43,9 @@
 	}
 	countResult(checkSiteConfig(records[radish.RecordConfig]))
 	countResult(checkSiteVM(site, records[radish.RecordVM]))
+	for _, r := range records[radish.RecordRollout] {
+		countResult(checkOrder(r))
+	}
 	for _, seed := range site.Seeds {
 		countResult(checkAddress(ctx, "seed", seed))
 	}
@@ -58,6 +66,16 @@
 	return printResult("configuration", errNotInStore, "")
 }
 
+// checkOrder reports whether the record is an order to roll out a version that can be decoded, and its state.
+func checkOrder(r radish.Record) bool {
+	order, err := radishadapter.RecordDecoder{}.Rollout(r)
+	state := order.Status.State
+	if state == radish.RolloutPending || order.Status.Version != order.Version {
+		state = "not begun"
+	}
+	return printResult("rollout of "+r.Name, err, fmt.Sprintf("version %s in %v: %s", order.Version, order.Duration, state))
+}
+
 // checkSiteVM reports whether the store has a record of this VM, by which the other entry VMs find it. A VM writes its
 // record when it starts.
 func checkSiteVM(site *radish.PlatformSettings, records []radish.Record) bool {
--- a/cmd/site.go
+++ b/cmd/site.go
@@ -65,9 +65,10 @@
 		ForwardHTTP: &http.Client{Transport: radishadapter.NewTransport(false)},
 		ReleaseHTTP: &http.Client{Transport: radishadapter.NewTransport(true)},
 	}
+	store := &radishadapter.StoreClient{Address: site.StoreAddress, HTTP: &http.Client{Transport: radishadapter.NewTransport(true)}}
 	host, _, _ := net.SplitHostPort(site.CallerAddress)
 	server := &radishsite.Server{
-		InitialSettings: site, Store: &radishadapter.StoreClient{Address: site.StoreAddress, HTTP: &http.Client{Transport: radishadapter.NewTransport(true)}},
+		InitialSettings: site, Store: store, RolloutStore: store,
 		Decoder: radishadapter.RecordDecoder{}, Forwarder: targets, Prober: targets, StageClient: targets, Log: log,
 		MetricsAddress: net.JoinHostPort(host, metricsPort),
 		NewCallerHandler: func(handler radish.CallHandler, maxBody func() int64, isLeaving func() bool) http.Handler {
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -32,6 +32,8 @@
 	engineTarget  *radishadaptertest.Target
 	stageTargets  []*radishadaptertest.Target
 	configVersion int
+	// settings are further lines of the VMs' settings.
+	settings string
 }
 
 const siteAPIKey = "key-of-roads"
@@ -113,7 +115,7 @@
 	ports := cluster{t: s.t}
 	frontAddress, readyAddress, controlAddress, metricsAddress := ports.freePort(), ports.freePort(), ports.freePort(), ports.freePort()
 	settings := fmt.Sprintf("node_name=%s\nzone=bandung\nzones.bandung=jawa\nbind_addresses.front=%s\nbind_addresses.ready=%s\nbind_addresses.control=%s\n"+
-		"platform.address=%s\nbounds.grace_s=6\nbounds.budget_slack=100\nbounds.budget_ratio=0.2\nlimits.memory_mb=206\n", name, frontAddress, readyAddress, controlAddress, storeAddress)
+		"platform.address=%s\nbounds.grace_s=6\nbounds.budget_slack=100\nbounds.budget_ratio=0.2\nlimits.memory_mb=206\n", name, frontAddress, readyAddress, controlAddress, storeAddress) + s.settings
 	file := filepath.Join(s.t.TempDir(), name+".conf")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
--- a/internal/radishsite/cluster_state.go
+++ b/internal/radishsite/cluster_state.go
@@ -27,6 +27,8 @@
 	Config(r radish.Record) (cfg *radishroute.Config, ok bool, err error)
 	// Target decodes a target; an error means that the record does not describe a usable target.
 	Target(r radish.Record) (radish.Target, error)
+	// Rollout decodes an order; an error means that the record does not describe one.
+	Rollout(r radish.Record) (radish.RolloutOrder, error)
 }
 
 // clusterState is the VM's current view of the configuration, the targets and the store's availability, decoded from
@@ -35,7 +37,9 @@
 	decoder Decoder
 	mirror  *radishmirror.Mirror
 	fleet   *radishfleet.Fleet
-	log     hclog.Logger
+	// rollouts keeps the operator's orders; nil where they are not in force.
+	rollouts *rolloutManager
+	log      hclog.Logger
 	// onChange is called after targets or the configuration have changed.
 	onChange func()
 
@@ -46,6 +50,8 @@
 	storeUnreachable bool
 	storeChangedAt   time.Time
 	lastStoreFailure time.Time
+	// ordersAwaitedSince is when only the list of orders was missing.
+	ordersAwaitedSince time.Time
 }
 
 // apply updates the state from changed records. source names their origin in log lines.
@@ -59,8 +65,13 @@
 			c.applyTarget(r, source)
 		case radish.RecordEvacuation:
 			hasEvacuations = true
+		case radish.RecordRollout:
+			c.applyRollout(r, source)
 		}
 	}
+	if c.mirror.CompleteRevision(radish.RecordTarget) > 0 {
+		c.fleet.HoldNewVersions()
+	}
 	if hasEvacuations {
 		c.applyEvacuations(source)
 	}
@@ -124,6 +135,22 @@
 	})
 }
 
+func (c *clusterState) applyRollout(r radish.Record, source string) {
+	if c.rollouts == nil {
+		return
+	}
+	if r.Removed {
+		c.rollouts.removeOrder(r.Name, source)
+		return
+	}
+	order, err := c.decoder.Rollout(r)
+	if err != nil {
+		c.log.Error("invalid rollout record ignored", "rollout", r.Name, "revision", r.Revision, "source", source, "error", err.Error())
+		return
+	}
+	c.rollouts.setOrder(order, source, time.Now())
+}
+
 func (c *clusterState) applyEvacuations(source string) {
 	evacuated := make(map[string]bool)
 	for _, r := range c.mirror.Records(radish.RecordEvacuation) {
@@ -176,7 +203,24 @@
 	return c.storeUnreachable
 }
 
-// isSynced reports whether the VM has a configuration and the complete list of targets, which it needs to serve.
+// isSynced reports whether the VM has a configuration and the complete list of targets, which it needs to serve, and the list of orders
+// where they are in force.
 func (c *clusterState) isSynced() bool {
-	return c.config.Load() != nil && c.mirror.CompleteRevision(radish.RecordTarget) > 0
+	return c.config.Load() != nil && c.mirror.CompleteRevision(radish.RecordTarget) > 0 && (c.rollouts == nil || c.hasOrders(time.Now()))
+}
+
+// maxOrdersWait is how long a VM that lacks nothing else waits for the list of orders. A VM that serves without it is better than none.
+const maxOrdersWait = 3 * time.Second
+
+// hasOrders reports whether the VM has the list of orders or has waited long enough for it.
+func (c *clusterState) hasOrders(now time.Time) bool {
+	if c.mirror.CompleteRevision(radish.RecordRollout) > 0 {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ordersAwaitedSince.IsZero() {
+		c.ordersAwaitedSince = now
+	}
+	return now.Sub(c.ordersAwaitedSince) > maxOrdersWait
 }
--- a/internal/radishsite/cluster_state_test.go
+++ b/internal/radishsite/cluster_state_test.go
@@ -1,6 +1,7 @@
 package radishsite
 
 import (
+	"encoding/json"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -34,6 +35,16 @@
 	return radish.Target{Name: r.Name, Address: r.Name, DataCentre: "a", Service: "s", Leaving: string(r.Value) == "leaving"}, nil
 }
 
+// Rollout takes the record's value for the JSON form of the order.
+func (fakeDecoder) Rollout(r radish.Record) (radish.RolloutOrder, error) {
+	var o radish.RolloutOrder
+	if err := json.Unmarshal(r.Value, &o); err != nil {
+		return radish.RolloutOrder{}, errTorn
+	}
+	o.Name, o.Revision = r.Name, r.Revision
+	return o, nil
+}
+
 func newTestState() *clusterState {
 	state := &clusterState{
 		decoder: fakeDecoder{}, mirror: &radishmirror.Mirror{}, fleet: &radishfleet.Fleet{DataCentre: "a"}, log: hclog.NewNullLogger(),
--- a/internal/radishsite/gossip.go
+++ b/internal/radishsite/gossip.go
@@ -68,7 +68,11 @@
 		if len(linked) == 0 {
 			continue
 		}
-		p.exchangeHeartbeats(ctx, linked[rand.IntN(len(linked))], p.heartbeat())
+		h := p.heartbeat()
+		if p.rollouts != nil {
+			h.RolloutsDigest = p.rollouts.digest()
+		}
+		p.exchangeHeartbeats(ctx, linked[rand.IntN(len(linked))], h)
 	}
 	return ctx.Err()
 }
@@ -79,7 +83,7 @@
 		Complete: make(map[string]int64), StoreAway: p.state.isStoreUnreachable(), CoordinatorsDigest: p.coordinatorsDigest(),
 		CrashesDigest: p.quarantine.Digest(time.Now()), LeavingTargetsDigest: p.state.fleet.LeavingDigest(time.Now()),
 	}
-	for _, kind := range radish.RecordKinds {
+	for _, kind := range p.recordKinds() {
 		h.Complete[string(kind)] = p.mirror.CompleteRevision(kind)
 	}
 	return h
@@ -95,6 +99,9 @@
 	if differInReports(h, peer) {
 		p.addReports(h)
 	}
+	if p.rollouts != nil && peer.GetRolloutsDigest() != 0 && peer.GetRolloutsDigest() != p.rollouts.digest() {
+		h.Rollouts = p.rollouts.encodeEvidence(false)
+	}
 	return h
 }
 
--- a/internal/radishsite/loop.go
+++ b/internal/radishsite/loop.go
@@ -17,10 +17,12 @@
 const saveRetryInterval = 500 * time.Millisecond
 
 // watchDelays is the delay between two store calls for each kind of record, so that one call returns several changes.
+// The order of a new version must be known before its targets have waited long enough to be served without one.
 // Configuration and target changes must be in force within two seconds, even if no checker can be reached.
 var watchDelays = map[radish.RecordKind]time.Duration{
 	radish.RecordConfig: 500 * time.Millisecond, radish.RecordTarget: 1200 * time.Millisecond,
 	radish.RecordEvacuation: time.Second, radish.RecordVM: 2 * time.Second,
+	radish.RecordRollout: 300 * time.Millisecond,
 }
 
 // checkerWatchDelay is the shorter delay of checkers, from which the other VMs get changes first.
@@ -30,11 +32,12 @@
 var relistIntervals = map[radish.RecordKind]time.Duration{
 	radish.RecordConfig: time.Second, radish.RecordTarget: time.Second,
 	radish.RecordEvacuation: 2 * time.Second, radish.RecordVM: 5 * time.Second,
+	radish.RecordRollout: time.Second,
 }
 
 func (s *Server) addBackgroundLoops(background context.Context, group *run.Group) {
 	add := func(loop func(context.Context) error) { radishgroup.AddLoop(background, group, loop) }
-	for _, kind := range radish.RecordKinds {
+	for _, kind := range s.peers.recordKinds() {
 		f := &radishsync.Follower{
 			Kind: kind, Store: s.Store, Mirror: &s.mirror, OnStoreCall: s.state.recordStoreCall, Log: s.Log.Named("store"),
 			WatchDelay: watchDelays[kind], CheckerWatchDelay: checkerWatchDelay, RelistInterval: relistIntervals[kind],
@@ -49,6 +52,10 @@
 	add(s.peers.router.ProbeSilentPeers)
 	add(s.publishVMRecord)
 	add(s.watchSettings)
+	if s.rollouts != nil {
+		reporter := &rolloutReporter{manager: s.rollouts, peers: s.peers, store: s.RolloutStore, records: s.Store, onChange: s.redispatchAll, log: s.rollouts.log}
+		add(reporter.Run)
+	}
 	s.peers.updateLinks()
 }
 
--- a/internal/radishsite/network_test.go
+++ b/internal/radishsite/network_test.go
@@ -19,6 +19,8 @@
 	// bytesPerSecond is the upload bandwidth of each VM; 0 means unlimited.
 	bytesPerSecond int
 	conns          []*resetConn
+	// isCut reports whether a VM cannot reach an address; nil means that all can.
+	isCut func(from, address string) bool
 }
 
 // resetConn is a connection that the network can reset.
@@ -129,6 +131,23 @@
 	return conns
 }
 
+// cut breaks all connections between the two groups of VMs, if isOneSide tells them apart; nil heals the network.
+func (n *pipeNetwork) cut(isOneSide func(address string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isCut = nil
+	if isOneSide == nil {
+		return
+	}
+	n.isCut = func(from, address string) bool { return isOneSide(from) != isOneSide(address) }
+	for _, c := range n.conns {
+		if n.isCut(c.from, c.to) {
+			c.isReset.Store(true)
+			_ = c.Close()
+		}
+	}
+}
+
 // reconnect makes a disconnected VM reachable again.
 func (n *pipeNetwork) reconnect(name string, conns chan net.Conn) {
 	n.mu.Lock()
@@ -156,8 +175,9 @@
 func (n *pipeNetwork) dial(ctx context.Context, from, address string) (net.Conn, error) {
 	n.mu.Lock()
 	toConns, fromConns := n.listeners[address], n.listeners[from]
+	isCut := n.isCut != nil && n.isCut(from, address)
 	n.mu.Unlock()
-	if toConns == nil || fromConns == nil {
+	if isCut || toConns == nil || fromConns == nil {
 		return nil, radish.ErrUnavailable
 	}
 	dialerEnd, listenerEnd := net.Pipe()
--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,8 @@
 	// quarantine holds the evidence on crashes of targets, which the VMs exchange.
 	quarantine *radishquarantine.Quarantine
 	router     *radishstage.Router
+	// rollouts keeps the operator's orders and the evidence on them; nil where they are not in force.
+	rollouts *rolloutManager
 	// seeds returns peer addresses of other VMs, some of which may be stale.
 	seeds     func() []string
 	isLeaving func() bool
@@ -98,6 +101,14 @@
 	return n
 }
 
+// listedVMCount returns the number of entry VMs, or 0 until the list of VMs is known.
+func (p *peerManager) listedVMCount() int {
+	if !p.hasVMList() {
+		return 0
+	}
+	return p.vmCount()
+}
+
 // vmNames returns the names of all entry VMs, including this one.
 func (p *peerManager) vmNames() []string {
 	p.mu.Lock()
@@ -130,6 +141,14 @@
 	return names
 }
 
+// recordKinds returns the kinds of records that this VM follows.
+func (p *peerManager) recordKinds() []radish.RecordKind {
+	if p.rollouts == nil {
+		return radish.RecordKinds
+	}
+	return append(slices.Clip(radish.RecordKinds), radish.RecordRollout)
+}
+
 // hasAvailablePeers reports whether another VM can be sent work.
 func (p *peerManager) hasAvailablePeers() bool {
 	names := p.availableVMs()
@@ -142,6 +161,9 @@
 	p.mergeCoordinators(h.GetCoordinators())
 	p.mergeCrashes(h.GetCrashes(), h.GetVm())
 	p.mergeLeaving(h.GetLeavingTargets(), h.GetVm())
+	if p.rollouts != nil {
+		p.rollouts.mergeEvidence(h.GetRollouts(), time.Now())
+	}
 }
 
 // recordPeerState records whether the peer reaches the store and whether it is leaving.
--- a/internal/radishsite/reload.go
+++ b/internal/radishsite/reload.go
@@ -60,5 +60,6 @@
 	return initial.CallerAddress != current.CallerAddress || initial.ReadyAddress != current.ReadyAddress ||
 		initial.PeerAddress != current.PeerAddress || initial.StoreAddress != current.StoreAddress ||
 		initial.VM != current.VM || initial.DataCentre != current.DataCentre ||
-		initial.ShutdownGrace != current.ShutdownGrace || initial.Cores != current.Cores
+		initial.ShutdownGrace != current.ShutdownGrace || initial.Cores != current.Cores ||
+		initial.HasExposureLimit != current.HasExposureLimit
 }
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -32,6 +32,7 @@
 	"radishramp.example/radishramp/pkg/radishmirror"
 	"radishramp.example/radishramp/pkg/radishpeer"
 	"radishramp.example/radishramp/pkg/radishquarantine"
+	"radishramp.example/radishramp/pkg/radishrollout"
 )
 
 const (
@@ -62,8 +63,10 @@
 	// interval.
 	SettingsChanged <-chan os.Signal
 	Store           radish.RecordStore
-	Decoder         Decoder
-	Forwarder       radish.Forwarder
+	// RolloutStore writes the status of the operator's orders. If it is nil, they are not in force.
+	RolloutStore radish.RolloutStore
+	Decoder      Decoder
+	Forwarder    radish.Forwarder
 	// Prober checks targets at which an attempt was cut. If it is nil, they are not checked.
 	Prober           radish.TargetProber
 	StageClient      radish.StageClient
@@ -77,6 +80,7 @@
 	quarantine      *radishquarantine.Quarantine
 	state           *clusterState
 	peers           *peerManager
+	rollouts        *rolloutManager
 	metrics         *radishmetric.Metrics
 	relay           *radishrelay.Relay
 	callerConns     *radishconn.Limiter
@@ -122,9 +126,22 @@
 	s.callerConns = &radishconn.Limiter{
 		Max: s.maxCallerConns, HeaderTimeout: s.headerTimeout, IdleTimeout: s.idleTimeout, Log: s.Log.Named("caller"),
 	}
+	s.addRollouts()
 	return s.registerGauges()
 }
 
+// addRollouts puts the operator's orders in force where the settings limit the exposure of versions.
+func (s *Server) addRollouts() {
+	if !s.InitialSettings.HasExposureLimit || s.RolloutStore == nil {
+		return
+	}
+	s.rollouts = &rolloutManager{
+		self: radishrollout.Source{VM: s.peers.self.Name, Incarnation: s.peers.self.Incarnation}, settings: s.currentSettings.Load,
+		vmCount: s.peers.listedVMCount, metrics: s.metrics, log: s.Log.Named("rollout"),
+	}
+	s.fleet.Versions, s.state.rollouts, s.peers.rollouts = s.rollouts, s.rollouts, s.rollouts
+}
+
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
 	return radishdial.NewDialer().DialContext(ctx, "tcp", address)
 }
@@ -157,6 +174,7 @@
 		{"radishramp_caller_connections_closed", "Unused connections of callers closed after their time or in favour of new ones.", func() float64 {
 			return float64(s.callerConns.Stats().Closed)
 		}},
+		{"radishramp_rollouts_running", "Orders to roll out a version that have no final state.", func() float64 { return float64(s.rollouts.runningCount()) }},
 		{"radishramp_store_away", "1 while the store does not answer.", func() float64 { return radishmetric.BoolValue(s.state.isStoreUnreachable()) }},
 		{"radishramp_is_ready", "1 while the VM says that it is ready.", func() float64 { return radishmetric.BoolValue(s.isReady()) }},
 	}
--- a/pkg/radishfleet/version.go
+++ b/pkg/radishfleet/version.go
@@ -44,10 +44,6 @@
 	CandidateAdmitted
 	// CandidateOnly sends calls to no other version.
 	CandidateOnly
-	// CandidateLast keeps calls from the candidate unless the service has no target of another version.
-	CandidateLast
-	// CandidateFirst sends calls to no other version unless the service has no target of the candidate.
-	CandidateFirst
 )
 
 // VersionRule tells which versions of a service may get calls. The zero value allows all.
@@ -57,6 +53,12 @@
 	Use       CandidateUse
 	// Served is the only other version that may get calls; "" means that all others may.
 	Served string
+	// Barred lists versions that get no calls.
+	Barred []string
+	// IsLenient is whether the rule does not apply where it leaves the service without targets.
+	IsLenient bool
+	// Avoid is a target of the candidate that gets no calls; "" if there is none.
+	Avoid string
 	// Share is the share of the candidate's targets that admitted calls are sent to, so that these targets get as many calls as after the
 	// rollout. Key selects the targets; all VMs use the same.
 	Share float64
@@ -170,13 +172,8 @@
 		return nil
 	}
 	v := &versionFilter{rule: f.Versions.Versions(service, route, calls, now)}
-	switch {
-	case v.rule.Use == CandidateLast && !f.hasOtherVersion(service, v.rule.Candidate):
+	if v.rule.IsLenient && !f.hasAllowed(service, v) {
 		v.rule = VersionRule{}
-	case v.rule.Use == CandidateFirst && f.countStaying(service, v.rule.Candidate) == 0:
-		v.rule = VersionRule{}
-	case v.rule.Use == CandidateFirst:
-		v.rule.Use = CandidateOnly
 	}
 	for version, until := range f.heldUntil[service] {
 		if now.Before(until) && version != v.rule.Candidate {
@@ -192,10 +189,10 @@
 	return v
 }
 
-// hasOtherVersion reports whether the service has a target of another version that is there to stay.
-func (f *Fleet) hasOtherVersion(service, version string) bool {
+// hasAllowed reports whether the service has a target that the filter allows and that is there to stay.
+func (f *Fleet) hasAllowed(service string, v *versionFilter) bool {
 	for _, s := range f.byService[service] {
-		if s.target.Version != version && f.isStaying(s) {
+		if v.allows(s) && f.isStaying(s) {
 			return true
 		}
 	}
@@ -211,7 +208,7 @@
 	var warm, cold []*targetState
 	total := 0
 	for _, s := range f.byService[service] {
-		if s.target.Version != v.rule.Candidate || !condition(s) || !f.isInService(s) {
+		if s.target.Version != v.rule.Candidate || s.target.Name == v.rule.Avoid || !condition(s) || !f.isInService(s) {
 			continue
 		}
 		total++
@@ -251,12 +248,12 @@
 	}
 	version := s.target.Version
 	if v.rule.Candidate != "" && version == v.rule.Candidate {
-		return v.rule.Use == CandidateOnly
+		return v.rule.Use == CandidateOnly && s.target.Name != v.rule.Avoid
 	}
 	if v.rule.Use == CandidateOnly || v.rule.Served != "" && version != v.rule.Served {
 		return false
 	}
-	return !v.held[version]
+	return !v.held[version] && !slices.Contains(v.rule.Barred, version)
 }
 
 // CandidateBatch returns the available targets of the service's candidate that a batch of pieces may be sent to, in the shard if there
--- a/pkg/radishfleet/version_test.go
+++ b/pkg/radishfleet/version_test.go
@@ -84,7 +84,8 @@
 		{"candidate unused", VersionRule{Candidate: "v2", Use: CandidateUnused, Served: "v1"}, "v1"},
 		{"candidate not admitted", VersionRule{Candidate: "v2", Use: CandidateAdmitted, Served: "v1", Share: 0.1}, "v1"},
 		{"candidate only", VersionRule{Candidate: "v2", Use: CandidateOnly, Served: "v1"}, "v2"},
-		{"withdrawn", VersionRule{Candidate: "v2", Use: CandidateLast, Served: "v1"}, "v1"},
+		{"withdrawn", VersionRule{Barred: []string{"v2"}, Served: "v1", IsLenient: true}, "v1"},
+		{"barred", VersionRule{Candidate: "v3", Use: CandidateAdmitted, Barred: []string{"v2"}}, "v1"},
 	} {
 		f := newVersionedFleet(&fakeGate{rule: test.rule}, map[string]int{"v1": 3, "v2": 3, "v3": 3}, now)
 		queries := map[string]Query{
@@ -232,7 +233,7 @@
 // TestWithdrawnVersionIsServedIfItIsTheOnlyOne guards against a service without targets after an order was withdrawn.
 func TestWithdrawnVersionIsServedIfItIsTheOnlyOne(t *testing.T) {
 	now := time.Unix(1000, 0)
-	f := newVersionedFleet(&fakeGate{rule: VersionRule{Candidate: "v2", Use: CandidateLast}}, map[string]int{"v1": 1, "v2": 1}, now)
+	f := newVersionedFleet(&fakeGate{rule: VersionRule{Barred: []string{"v2"}, IsLenient: true}}, map[string]int{"v1": 1, "v2": 1}, now)
 	if diff := cmp.Diff(map[string]int{"v1": 5}, pickMany(f, Query{Service: "s"}, 5, now)); diff != "" {
 		t.Error(diff)
 	}
