Let rollouts wait for results at old targets, and probe no data centre with a new version

Results of stages that old targets store are lost when these end, so they count as calls in flight there. A target of the candidate that was chosen to show whether a data centre is reachable again got few calls, so that the data centre stayed excluded; TestCandidateIsNoProbe failed before.

--- a/internal/radishsite/loop.go
+++ b/internal/radishsite/loop.go
@@ -53,7 +53,10 @@
 	add(s.publishVMRecord)
 	add(s.watchSettings)
 	if s.rollouts != nil {
-		reporter := &rolloutReporter{manager: s.rollouts, peers: s.peers, store: s.RolloutStore, records: s.Store, onChange: s.redispatchAll, log: s.rollouts.log}
+		reporter := &rolloutReporter{
+			manager: s.rollouts, peers: s.peers, store: s.RolloutStore, records: s.Store, onChange: s.redispatchAll, oldResults: s.resultsOfOthers,
+			log: s.rollouts.log,
+		}
 		add(reporter.Run)
 	}
 	s.peers.updateLinks()
--- a/internal/radishsite/rollout_cluster_test.go
+++ b/internal/radishsite/rollout_cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +61,8 @@
 	refused  int
 	inFlight map[string]int
 	running  sync.WaitGroup
+	// oldResults is the number of results that each VM has at old targets.
+	oldResults atomic.Int64
 }
 
 // newRolloutCluster starts n VMs, with n targets each of the versions v1 and v2. The callers end before the VMs.
@@ -104,7 +107,8 @@
 	view := &storeView{orderStore: c.store, vm: vm.self.Name}
 	ctx, cancel := context.WithCancel(c.ctx)
 	r := &rolloutVM{testVM: vm, manager: manager, cancel: cancel}
-	r.reporter = &rolloutReporter{manager: manager, peers: vm.peerManager, store: view, records: view, onChange: func() {}, log: hclog.NewNullLogger()}
+	r.reporter = &rolloutReporter{manager: manager, peers: vm.peerManager, store: view, records: view, onChange: func() {},
+		oldResults: func(string, string) int { return int(c.oldResults.Load()) }, log: hclog.NewNullLogger()}
 	c.vms[i] = r
 	c.store.mu.Lock()
 	c.store.vms[vm.self.Name] = r
--- a/internal/radishsite/rollout_decision.go
+++ b/internal/radishsite/rollout_decision.go
@@ -9,9 +9,15 @@
 // minShareLogInterval is the shortest time between two log lines on the share of a rollout in the same phase.
 const minShareLogInterval = time.Second
 
-// decide decides on all running orders, given the number of targets of their versions by service, and reports whether a phase has changed
-// and whether a version was found bad.
-func (m *rolloutManager) decide(targets map[string]int, now time.Time) (changed, isBad bool) {
+// serviceTargets is what is known of the targets of a service with an order.
+type serviceTargets struct {
+	// candidates is the number of targets of the order's version, and oldResults that of the results stored at others.
+	candidates, oldResults int
+}
+
+// decide decides on all running orders, given the state of their targets by service, and reports whether a phase has changed and whether a
+// version was found bad.
+func (m *rolloutManager) decide(targets map[string]serviceTargets, now time.Time) (changed, isBad bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	vms := m.vmCount()
@@ -20,8 +26,8 @@
 			continue
 		}
 		s.rollout.VMs = max(1, vms)
-		s.rollout.Targets, s.rollout.NoTargets = targets[name], targets[name] == 0
-		s.rollout.RecordOldInFlight(s.oldInFlight())
+		s.rollout.Targets, s.rollout.NoTargets = targets[name].candidates, targets[name].candidates == 0
+		s.rollout.RecordOldInFlight(s.oldInFlight() + targets[name].oldResults)
 		d := s.rollout.Decide(now)
 		if d.Phase != s.decision.Phase {
 			changed = true
--- a/internal/radishsite/rollout_failure_test.go
+++ b/internal/radishsite/rollout_failure_test.go
@@ -265,3 +265,20 @@
 		}
 	})
 }
+
+// TestCompletedWaitsForResultsAtOldTargets guards against results of stages that are lost when the old targets end at once.
+func TestCompletedWaitsForResultsAtOldTargets(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newRolloutCluster(t, 3)
+		c.oldResults.Store(5)
+		orderedAt := time.Now()
+		c.store.put("s", "v2", 2*testDuration)
+		time.Sleep(2*testDuration - 3*time.Second)
+		if got := c.store.status("s").State; got != radish.RolloutRunning {
+			t.Errorf("with results at old targets: got %q, want running", got)
+		}
+		c.oldResults.Store(0)
+		time.Sleep(time.Second)
+		c.checkFinal(radish.RolloutCompleted, "v2", orderedAt.Add(2*testDuration))
+	})
+}
--- a/internal/radishsite/rollout_status.go
+++ b/internal/radishsite/rollout_status.go
@@ -111,7 +111,9 @@
 	records radish.RecordStore
 	// onChange is called when versions get other calls than before.
 	onChange func()
-	log      hclog.Logger
+	// oldResults returns the number of stage results that this VM's coordinators have at targets of other versions than the given one.
+	oldResults func(service, version string) int
+	log        hclog.Logger
 
 	reportedAt time.Time
 }
@@ -135,9 +137,11 @@
 	if len(orders) == 0 {
 		return
 	}
-	targets := make(map[string]int, len(orders))
+	targets := make(map[string]serviceTargets, len(orders))
 	for _, o := range orders {
-		targets[o.Service] = r.peers.state.fleet.VersionTargets(o.Service, o.Version)
+		targets[o.Service] = serviceTargets{
+			candidates: r.peers.state.fleet.VersionTargets(o.Service, o.Version), oldResults: r.oldResults(o.Service, o.Version),
+		}
 	}
 	changed, isBad := r.manager.decide(targets, now)
 	if changed {
--- a/internal/radishsite/shard.go
+++ b/internal/radishsite/shard.go
@@ -50,6 +50,15 @@
 	}
 }
 
+// resultsOfOthers returns the number of stage results that this VM's coordinators have at the service's targets of other versions.
+func (s *Server) resultsOfOthers(service, version string) int {
+	n := 0
+	for _, coordinator := range s.allCoordinators() {
+		n += coordinator.ResultsOfOthers(service, version)
+	}
+	return n
+}
+
 func (s *Server) allCoordinators() []*radishstage.Coordinator {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/radishstage/version.go
+++ b/internal/radishstage/version.go
@@ -30,6 +30,20 @@
 	}
 }
 
+// ResultsOfOthers returns the number of results that are stored at the service's targets of other versions. They are lost when these targets
+// end.
+func (c *Coordinator) ResultsOfOthers(service, version string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, s := range c.targets {
+		if s.target.Service == service && s.target.Version != version {
+			n += s.space.Results(time.Now())
+		}
+	}
+	return n
+}
+
 // versionResult returns what a finished call says about the version of its target. Its time is converted to that of a typical batch, since
 // batches differ in size.
 func (f *finishedCall) versionResult() radishfleet.VersionResult {
--- a/internal/radishstage/version_test.go
+++ b/internal/radishstage/version_test.go
@@ -103,6 +103,29 @@
 	})
 }
 
+// TestResultsOfOthersAreCounted guards against results that are lost since the targets that store them end.
+func TestResultsOfOthersAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newVersionedCoordinator(&shareGate{}, 2)
+		p := &Plan{
+			CallID: "call", Key: "k", Due: time.Now().Add(3 * time.Second), Deadline: time.Now().Add(5 * time.Second),
+			Stages: []Stage{{Service: "enc", Pieces: 4, ResultBytes: 100}},
+		}
+		result, err := c.Run(t.Context(), p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := [3]int{c.ResultsOfOthers("enc", "v2"), c.ResultsOfOthers("enc", "v1"), c.ResultsOfOthers("rank", "v2")}; got != [3]int{4, 0, 0} {
+			t.Errorf("got %v results at old and new targets and at those of another service, want 4, 0 and 0", got)
+		}
+		c.Free(result.Handles[0])
+		time.Sleep(time.Second)
+		if got := c.ResultsOfOthers("enc", "v2"); got != 0 {
+			t.Errorf("got %d results after their release", got)
+		}
+	})
+}
+
 // TestOnlyNewVersionGetsPieces guards against pieces at old targets once all traffic has moved.
 func TestOnlyNewVersionGetsPieces(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/radishbatch/result_space.go
+++ b/pkg/radishbatch/result_space.go
@@ -68,6 +68,12 @@
 	return s.trackedBytes
 }
 
+// Results returns the number of tracked results.
+func (s *ResultSpace) Results(now time.Time) int {
+	s.dropExpired(now)
+	return len(s.results)
+}
+
 // dropExpired stops tracking results that have expired.
 func (s *ResultSpace) dropExpired(now time.Time) {
 	s.nextExpiry = time.Time{}
--- a/pkg/radishfleet/reachability.go
+++ b/pkg/radishfleet/reachability.go
@@ -75,6 +75,12 @@
 	return link.probes[t.Service] != t.Name
 }
 
+// isLinkDown reports whether the target's data centre is unreachable or not yet known to be reachable again, without choosing a probe.
+func (f *Fleet) isLinkDown(t radish.Target) bool {
+	link := f.dataCentreLinks[t.DataCentre]
+	return link != nil && link.unreachablePeriod > 0
+}
+
 // releaseProbe lets another target probe the data centre, if this one was removed or its last call did not show
 // whether the data centre is reachable.
 func (f *Fleet) releaseProbe(t radish.Target) {
--- a/pkg/radishfleet/version.go
+++ b/pkg/radishfleet/version.go
@@ -213,7 +213,7 @@
 		}
 		total++
 		switch {
-		case s.isPaused(now) || f.isExcluded(s, now):
+		case s.isPaused(now) || now.Before(s.ejectedUntil) || f.isLinkDown(s.target):
 		case now.Before(s.coldUntil):
 			cold = append(cold, s)
 		default:
--- a/pkg/radishfleet/version_test.go
+++ b/pkg/radishfleet/version_test.go
@@ -276,3 +276,29 @@
 		t.Error("a new version got no call")
 	}
 }
+
+// TestCandidateIsNoProbe guards against a data centre that stays excluded since a target of the candidate, which gets few calls, is to show
+// whether it is reachable again.
+func TestCandidateIsNoProbe(t *testing.T) {
+	now := time.Unix(1000, 0)
+	gate := &fakeGate{rule: VersionRule{Candidate: "v2", Use: CandidateAdmitted, Share: 0.1, Key: "order"}, admitted: 100}
+	f := &Fleet{DataCentre: "a", Versions: gate}
+	for _, version := range []string{"v2", "v1"} {
+		for i := range 3 {
+			remote := versionedTarget(version, i)
+			remote.DataCentre = "b"
+			f.Set(remote, now)
+		}
+	}
+	f.Set(versionedTarget("v1", 9), now)
+	for i := range 3 {
+		f.Report(versionedTarget("v1", i).Name, Outcome{Failed: true, Unreachable: true}, now)
+	}
+	now = now.Add(maxUnreachablePeriod + maxEjection)
+	if got := pickMany(f, Query{Service: "s"}, 1, now); got["v1"] != 1 {
+		t.Errorf("got %v, want a call to v1", got)
+	}
+	if probe := f.dataCentreLinks["b"].probes["s"]; probe != "" && probe[:2] == "v2" {
+		t.Errorf("%s is the probe", probe)
+	}
+}
