Serve the version of an order without limit if there is no other

An order may name the version that is there already, as after VMs and orders are set up anew: nearly all calls would be refused.

--- a/internal/radishsite/rollout.go
+++ b/internal/radishsite/rollout.go
@@ -80,7 +80,7 @@
 		}
 		return rule
 	}
-	rule.Avoid = s.rollout.SuspectTarget()
+	rule.Avoid, rule.MayServeAlone = s.rollout.SuspectTarget(), true
 	switch {
 	case s.rollout.MustUse(now):
 		rule.Use = radishfleet.CandidateOnly
--- a/pkg/radishfleet/version.go
+++ b/pkg/radishfleet/version.go
@@ -55,6 +55,8 @@
 	Served string
 	// Barred lists versions that get no calls.
 	Barred []string
+	// MayServeAlone is whether the candidate is used without limit if the service has no target of another version.
+	MayServeAlone bool
 	// IsLenient is whether the rule does not apply where it leaves the service without targets.
 	IsLenient bool
 	// Avoid is a target of the candidate that gets no calls; "" if there is none.
@@ -172,8 +174,11 @@
 		return nil
 	}
 	v := &versionFilter{rule: f.Versions.Versions(service, route, calls, now)}
-	if v.rule.IsLenient && !f.hasAllowed(service, v) {
+	switch {
+	case v.rule.IsLenient && !f.hasAllowed(service, v):
 		v.rule = VersionRule{}
+	case v.rule.MayServeAlone && v.rule.Use != CandidateOnly && f.isOnlyVersion(service, v.rule.Candidate):
+		v.rule.Use = CandidateOnly
 	}
 	for version, until := range f.heldUntil[service] {
 		if now.Before(until) && version != v.rule.Candidate {
@@ -199,6 +204,16 @@
 	return false
 }
 
+// isOnlyVersion reports whether all targets of the service that are there to stay are of the version.
+func (f *Fleet) isOnlyVersion(service, version string) bool {
+	for _, s := range f.byService[service] {
+		if s.target.Version != version && f.isStaying(s) {
+			return false
+		}
+	}
+	return true
+}
+
 // candidates returns the filter that allows only the candidate's targets that admitted calls are sent to, out of those that meet the
 // condition, or nil if calls are not admitted.
 func (f *Fleet) candidates(service string, v *versionFilter, now time.Time, condition func(s *targetState) bool) *versionFilter {
--- a/pkg/radishfleet/version_test.go
+++ b/pkg/radishfleet/version_test.go
@@ -85,6 +85,7 @@
 		{"candidate not admitted", VersionRule{Candidate: "v2", Use: CandidateAdmitted, Served: "v1", Share: 0.1}, "v1"},
 		{"candidate only", VersionRule{Candidate: "v2", Use: CandidateOnly, Served: "v1"}, "v2"},
 		{"withdrawn", VersionRule{Barred: []string{"v2"}, Served: "v1", IsLenient: true}, "v1"},
+		{"not alone", VersionRule{Candidate: "v2", Use: CandidateUnused, Served: "v1", MayServeAlone: true}, "v1"},
 		{"barred", VersionRule{Candidate: "v3", Use: CandidateAdmitted, Barred: []string{"v2"}}, "v1"},
 	} {
 		f := newVersionedFleet(&fakeGate{rule: test.rule}, map[string]int{"v1": 3, "v2": 3, "v3": 3}, now)
@@ -245,6 +246,20 @@
 	}
 }
 
+// TestOnlyVersionIsServedDuringItsOrder guards against refusals of nearly all calls where an order names the version that is there already.
+func TestOnlyVersionIsServedDuringItsOrder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	gate := &fakeGate{rule: VersionRule{Candidate: "v2", Use: CandidateAdmitted, Share: 0.1, MayServeAlone: true}}
+	f := newVersionedFleet(gate, map[string]int{"v2": 2}, now)
+	if got := pickMany(f, Query{Service: "s"}, 20, now); got["v2"] != 20 || len(f.UsableTargets("s", now)) != 2 {
+		t.Errorf("got %v, want all calls at v2", got)
+	}
+	gate.rule.MayServeAlone = false
+	if got := pickMany(f, Query{Service: "s"}, 20, now); got["none"] != 20 {
+		t.Errorf("reverted: got %v, want no call", got)
+	}
+}
+
 // TestShardCountIgnoresSecondVersion guards against other coordinators while the targets of two versions run side by side.
 func TestShardCountIgnoresSecondVersion(t *testing.T) {
 	now := time.Unix(1000, 0)
