Pass changes of the test store on in order

Two orders at the same time could reach a VM in the wrong order, and the first one was then ignored as outdated: TestOrderWithoutTargets failed in the first run on several processors. The fake now passes on the whole list, as the store's lists do; six runs passed after that.

--- a/internal/radishsite/rollout_store_test.go
+++ b/internal/radishsite/rollout_store_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -61,7 +60,7 @@
 	}
 	o.Name, o.Service, o.Version, o.Duration, o.Revision = service, service, version, duration, s.revision
 	s.orders[service] = o
-	s.notify(recordOf(o))
+	s.notify()
 }
 
 // remove removes an order as the operator does.
@@ -70,7 +69,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	delete(s.orders, service)
-	s.notify(radish.Record{Kind: radish.RecordRollout, Name: service, Revision: s.revision, Removed: true})
+	s.notify()
 }
 
 func recordOf(o radish.RolloutOrder) radish.Record {
@@ -78,8 +77,8 @@
 	return radish.Record{Kind: radish.RecordRollout, Name: o.Name, Revision: o.Revision, Value: value}
 }
 
-// notify passes a change to the VMs that reach the store.
-func (s *orderStore) notify(r radish.Record) {
+// notify passes the orders to the VMs that reach the store now.
+func (s *orderStore) notify() {
 	if s.losesWatches {
 		return
 	}
@@ -87,12 +86,22 @@
 		if s.isAway == nil || !s.isAway(name) {
 			go func() {
 				time.Sleep(30 * time.Millisecond)
-				vm.applyChanges(vm.mirror.ApplyUpTo(radish.RecordRollout, []radish.Record{r}, r.Revision), "store")
+				s.mu.Lock()
+				records, revision := s.list()
+				s.mu.Unlock()
+				vm.applyChanges(vm.mirror.Replace(radish.RecordRollout, records, revision), "store")
 			}()
 		}
 	}
 }
 
+func (s *orderStore) list() (records []radish.Record, revision int64) {
+	for _, o := range s.orders {
+		records = append(records, recordOf(o))
+	}
+	return records, s.revision
+}
+
 // status returns the status of the service's order.
 func (s *orderStore) status(service string) radish.RolloutStatus {
 	s.mu.Lock()
@@ -153,7 +162,7 @@
 	o.Revision, o.Status = v.revision, status
 	v.orders[name] = o
 	v.writes = append(v.writes, statusWrite{RolloutStatus: status, vm: v.vm, at: time.Now()})
-	v.notify(recordOf(o))
+	v.notify()
 	if fault == writeLost {
 		return radish.Record{}, radish.ErrAmbiguous
 	}
@@ -167,9 +176,6 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var records []radish.Record
-	for _, o := range slices.Collect(maps.Values(v.orders)) {
-		records = append(records, recordOf(o))
-	}
-	return records, v.revision, nil
+	records, revision := v.list()
+	return records, revision, nil
 }
