Tell VMs that start which versions earlier orders have left in use

The store holds only the last order of a service. A VM that was killed and started again within the next order sent 14 calls to a version that had been reverted before (TestRollouts, two of two runs), and 2 calls before it was ready once it had asked its peers. VMs now exchange the history of each service with their evidence, and a VM that starts serves no call before it knows the orders and a peer has answered.

--- a/e2e/rollout_test.go
+++ b/e2e/rollout_test.go
@@ -97,13 +97,14 @@
 
 // TestRollouts has three VMs as processes play orders for a service and for a stage service at the same time: first a bad version of the
 // one and a good one of the other, then the other way round. It guards against bad versions that get more than their part of the calls,
-// and against states that are wrong or late, by what the targets and the store saw.
+// and against states that are wrong or late, by what the targets and the store saw. During the second orders, one VM is killed and started
+// again.
 func TestRollouts(t *testing.T) {
 	s := newSiteCluster(t)
 	s.settings = fmt.Sprintf("bounds.expose_share=%g\nbounds.expose_slack=%d\nbounds.rollback_ms=5000\n", exposeShare, exposeSlack)
 	vms := []*siteVM{s.startVM("vm-1"), s.startVM("vm-2"), s.startVM("vm-3")}
 	var callers sync.WaitGroup
-	var stopped atomic.Bool
+	var stopped, isDisturbed atomic.Bool
 	var failures atomic.Int64
 	for n := range 12 {
 		callers.Go(func() {
@@ -112,7 +113,10 @@
 				path, headers = "/stream/x", stagedHeaders
 			}
 			for !stopped.Load() {
-				if status, _ := s.call(vms[n%len(vms)], path, headers); status != http.StatusOK && status != http.StatusInternalServerError {
+				wasDisturbed := isDisturbed.Load()
+				status, _ := s.call(vms[n%len(vms)], path, headers)
+				isAnswered := status == http.StatusOK || status == http.StatusInternalServerError
+				if !isAnswered && !wasDisturbed && !isDisturbed.Load() {
 					failures.Add(1)
 				}
 				time.Sleep(20 * time.Millisecond)
@@ -133,7 +137,17 @@
 	badStage := &playedRollout{service: "stage", version: "v3", want: "reverted", old: goodStage.candidate, candidate: s.addVersion("stage", "v3", 2, failing)}
 	s.order(goodPlain)
 	s.order(badStage)
-	time.Sleep(rolloutDuration + 500*time.Millisecond)
+	time.Sleep(2 * time.Second)
+	isDisturbed.Store(true)
+	_ = vms[2].cmd.Process.Kill()
+	_, _ = vms[2].cmd.Process.Wait()
+	s.startProcess(vms[2])
+	if !vms[2].waitUntilReady(readyTimeout) {
+		t.Error("the killed VM did not start again")
+	}
+	time.Sleep(time.Second)
+	isDisturbed.Store(false)
+	time.Sleep(time.Until(goodPlain.orderedAt.Add(rolloutDuration + 500*time.Millisecond)))
 	s.check(goodPlain)
 	s.check(badStage)
 	if n, _ := callsBetween(badPlain.candidate, goodPlain.orderedAt, time.Now()); n > 0 {
--- a/internal/radishsite/cluster_state.go
+++ b/internal/radishsite/cluster_state.go
@@ -43,6 +43,9 @@
 	// onChange is called after targets or the configuration have changed.
 	onChange func()
 
+	// knowsOrders is whether the VM has had the list of orders, or has waited long enough for it.
+	knowsOrders atomic.Bool
+
 	config   atomic.Pointer[radishroute.Config]
 	configAt atomic.Pointer[time.Time]
 
@@ -212,15 +215,30 @@
 // maxOrdersWait is how long a VM that lacks nothing else waits for the list of orders. A VM that serves without it is better than none.
 const maxOrdersWait = 3 * time.Second
 
-// hasOrders reports whether the VM has the list of orders or has waited long enough for it.
+// hasOrders reports whether the VM has the list of orders, and what its peers know of earlier ones, or has waited long enough for them.
 func (c *clusterState) hasOrders(now time.Time) bool {
-	if c.mirror.CompleteRevision(radish.RecordRollout) > 0 {
+	if c.knowsOrders.Load() {
 		return true
 	}
+	hasOrders := c.mirror.CompleteRevision(radish.RecordRollout) > 0 && c.rollouts.knowsHistory()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ordersAwaitedSince.IsZero() {
 		c.ordersAwaitedSince = now
 	}
-	return now.Sub(c.ordersAwaitedSince) > maxOrdersWait
+	if waited := now.Sub(c.ordersAwaitedSince); hasOrders || waited > maxOrdersWait {
+		c.log.Info("orders known", "listed", hasOrders, "waited_ms", waited.Milliseconds())
+		c.knowsOrders.Store(true)
+	}
+	return c.knowsOrders.Load()
+}
+
+// servedConfig returns the configuration by which calls are served, or nil before there is one. A VM that does not know the orders yet must
+// not serve calls with all versions.
+func (c *clusterState) servedConfig() *radishroute.Config {
+	cfg := c.config.Load()
+	if cfg == nil || c.rollouts != nil && !c.hasOrders(time.Now()) {
+		return nil
+	}
+	return cfg
 }
--- a/internal/radishsite/gossip.go
+++ b/internal/radishsite/gossip.go
@@ -100,7 +100,7 @@
 		p.addReports(h)
 	}
 	if p.rollouts != nil && peer.GetRolloutsDigest() != 0 && peer.GetRolloutsDigest() != p.rollouts.digest() {
-		h.Rollouts = p.rollouts.encodeEvidence(false)
+		h.Rollouts, h.RolloutHistories = p.rollouts.encodeEvidence(false), p.rollouts.encodeHistories()
 	}
 	return h
 }
@@ -116,6 +116,9 @@
 		return
 	}
 	p.handleHeartbeat(res.GetSite())
+	if h.GetRolloutsDigest() != 0 {
+		p.rollouts.recordAnswer()
+	}
 	if differInReports(p.heartbeat(), res.GetSite()) {
 		p.sendReports(ctx, name)
 	}
--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -162,6 +162,7 @@
 	p.mergeCrashes(h.GetCrashes(), h.GetVm())
 	p.mergeLeaving(h.GetLeavingTargets(), h.GetVm())
 	if p.rollouts != nil {
+		p.rollouts.mergeHistories(h.GetRolloutHistories(), h.GetVm())
 		p.rollouts.mergeEvidence(h.GetRollouts(), time.Now())
 	}
 }
@@ -204,6 +205,14 @@
 	wg.Wait()
 }
 
+// servePlan executes a plan for a peer. A VM that starts and does not know the orders yet leaves it to another one.
+func (p *peerManager) servePlan(ctx context.Context, plan *radishpeerpb.PlanRequest) *radishpeerpb.PlanReply {
+	if p.rollouts != nil && !p.state.hasOrders(time.Now()) {
+		return &radishpeerpb.PlanReply{Moved: true, Refusal: "this VM does not know the orders yet"}
+	}
+	return p.router.Serve(ctx, plan)
+}
+
 // Handle implements radishpeer.Handler.
 func (p *peerManager) Handle(ctx context.Context, req *radishpeerpb.Request) (*radishpeerpb.Response, error) {
 	switch body := req.GetBody().(type) {
@@ -214,7 +223,7 @@
 	case *radishpeerpb.Request_Records:
 		return p.handleRecordsRequest(body.Records), nil
 	case *radishpeerpb.Request_Plan:
-		return &radishpeerpb.Response{Body: &radishpeerpb.Response_Plan{Plan: p.router.Serve(ctx, body.Plan)}}, nil
+		return &radishpeerpb.Response{Body: &radishpeerpb.Response_Plan{Plan: p.servePlan(ctx, body.Plan)}}, nil
 	case *radishpeerpb.Request_Free:
 		p.router.ServeFree(body.Free)
 		return &radishpeerpb.Response{}, nil
--- a/internal/radishsite/rollout.go
+++ b/internal/radishsite/rollout.go
@@ -26,11 +26,15 @@
 	services map[string]*serviceVersions
 	// serviceOf holds the service of each order by the name of its record.
 	serviceOf map[string]string
+	// hasAsked is whether a peer has answered what it knows of orders.
+	hasAsked bool
 }
 
 // serviceVersions is what is known of the versions of one service. Its order stays until its record is removed.
 type serviceVersions struct {
 	order radish.RolloutOrder
+	// orderID identifies the order, also after its removal; 0 if there has been none.
+	orderID int64
 	// hasOrder is whether the order's record exists. rollout is the order's state, nil once the store has its final state, which is then
 	// in finished.
 	hasOrder bool
--- a/internal/radishsite/rollout_cluster_test.go
+++ b/internal/radishsite/rollout_cluster_test.go
@@ -174,6 +174,8 @@
 
 // runCallers sends the VM's calls until ctx ends.
 func (c *rolloutCluster) runCallers(ctx context.Context, vm *rolloutVM) {
+	for !vm.manager.knowsHistory() && radish.Sleep(ctx, callInterval) {
+	}
 	for radish.Sleep(ctx, callInterval/2+rand.N(callInterval)) {
 		route := []string{"first", "second"}[rand.IntN(2)]
 		t, ok := vm.state.fleet.Pick(radishfleet.Query{Service: "s", Route: route}, time.Now())
--- a/internal/radishsite/rollout_evidence.go
+++ b/internal/radishsite/rollout_evidence.go
@@ -88,12 +88,13 @@
 	return radishrollout.VersionCounts{Calls: c.GetCalls(), Failures: c.GetFailures(), Times: c.GetTimes()}
 }
 
-// digest returns a hash of the evidence of all VMs on running orders; 0 if there is none.
+// digest returns a hash of the evidence of all VMs on running orders and of the histories; it is never 0.
 func (m *rolloutManager) digest() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	digest := uint64(0)
+	digest := uint64(1)
 	for name, s := range m.services {
+		digest += s.historyHash(name)
 		if !s.isRunning() {
 			continue
 		}
@@ -107,13 +108,13 @@
 			digest += radish.RendezvousScore(name+"/"+e.Source.VM, fmt.Sprint(e.OrderRevision, e.Source.Incarnation, e.Phase, calls))
 		}
 	}
-	return digest
+	return max(1, digest)
 }
 
 // pushEvidence sends this VM's evidence to all peers. A peer that does not answer gets the next report.
 func (p *peerManager) pushEvidence(ctx context.Context) {
 	h := p.heartbeat()
-	h.Rollouts = p.rollouts.encodeEvidence(true)
+	h.Rollouts, h.RolloutHistories = p.rollouts.encodeEvidence(true), p.rollouts.encodeHistories()
 	for _, name := range p.node.Linked() {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
--- a/internal/radishsite/rollout_evidence_test.go
+++ b/internal/radishsite/rollout_evidence_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
 	"radishramp.example/radishramp/pkg/radish"
@@ -135,19 +136,72 @@
 	}
 }
 
+// TestHistoriesOfPeers guards against a VM that starts and sends to versions that were reverted before, and against histories of other
+// orders, which bar the wrong versions.
+func TestHistoriesOfPeers(t *testing.T) {
+	newManager := func() *rolloutManager {
+		return &rolloutManager{
+			vmCount: func() int { return 3 }, settings: func() *radish.PlatformSettings { return &radish.PlatformSettings{} }, log: hclog.NewNullLogger(),
+		}
+	}
+	now := time.Now()
+	order := func(version string, revision int64, status radish.RolloutStatus) radish.RolloutOrder {
+		return radish.RolloutOrder{
+			Name: "s", Service: "s", Version: version, Duration: testDuration, CreatedRevision: 3, Revision: revision, Status: status,
+		}
+	}
+	peer := newManager()
+	peer.setOrder(order("v2", 3, radish.RolloutStatus{}), "test", now)
+	peer.setOrder(order("v2", 4, radish.RolloutStatus{State: radish.RolloutCompleted, Version: "v2"}), "test", now)
+	peer.setOrder(order("v3", 5, radish.RolloutStatus{State: radish.RolloutCompleted, Version: "v2"}), "test", now)
+	peer.setOrder(order("v3", 6, radish.RolloutStatus{State: radish.RolloutReverted, Version: "v3"}), "test", now)
+	last := order("v4", 7, radish.RolloutStatus{State: radish.RolloutReverted, Version: "v3"})
+	peer.setOrder(last, "test", now)
+	want := radishfleet.VersionRule{Candidate: "v4", Served: "v2", Barred: []string{"v3"}, MayServeAlone: true}
+	check := func(name string, m *rolloutManager, want radishfleet.VersionRule) {
+		t.Helper()
+		if diff := cmp.Diff(want, m.Versions("s", "r", 0, now)); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+	check("peer", peer, want)
+	started := newManager()
+	started.mergeHistories(peer.encodeHistories(), "peer")
+	started.setOrder(last, "test", now)
+	if peer.digest() == started.digest() {
+		t.Error("the digests do not show that the VM lacks the history")
+	}
+	started.mergeHistories(peer.encodeHistories(), "peer")
+	check("started VM", started, want)
+	if peer.digest() != started.digest() {
+		t.Error("the digests differ although both VMs know the same")
+	}
+	other := newManager()
+	other.setOrder(order("v3", 7, radish.RolloutStatus{}), "test", now)
+	other.mergeHistories(peer.encodeHistories(), "peer")
+	check("VM with another order", other, radishfleet.VersionRule{Candidate: "v3", MayServeAlone: true})
+	peer.removeOrder("s", "test")
+	withdrawn := newManager()
+	withdrawn.mergeHistories(peer.encodeHistories(), "peer")
+	check("VM without an order", withdrawn, radishfleet.VersionRule{Served: "v2", Barred: []string{"v3", "v4"}, IsLenient: true})
+	withdrawn.mergeHistories([]*radishpeerpb.RolloutHistory{nil, {Service: "s"}, {Service: "s", OrderId: 4, Withdrawn: true, Barred: []string{"v1"}}}, "peer")
+	check("VM without an order", withdrawn, radishfleet.VersionRule{Served: "v2", Barred: []string{"v3", "v4"}, IsLenient: true})
+}
+
 // TestVMWaitsForOrders guards against a VM that serves all versions before it has the orders, and against one that never serves since the
 // store has no list of them.
 func TestVMWaitsForOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		state := newTestState()
-		state.rollouts = &rolloutManager{}
+		state.rollouts = &rolloutManager{vmCount: func() int { return 1 }}
 		state.applyRecords(radish.Record{Kind: radish.RecordConfig, Name: "main", Revision: 1})
 		state.mirror.ApplyUpTo(radish.RecordTarget, nil, 1)
-		if state.isSynced() {
+		p := &peerManager{state: state, rollouts: state.rollouts}
+		if state.isSynced() || state.servedConfig() != nil || !p.servePlan(t.Context(), nil).GetMoved() {
 			t.Error("the VM serves without the orders")
 		}
 		time.Sleep(maxOrdersWait + time.Second)
-		if !state.isSynced() {
+		if !state.isSynced() || state.servedConfig() == nil {
 			t.Error("the VM does not serve although only the orders are missing")
 		}
 	})
--- a/internal/radishsite/rollout_failure_test.go
+++ b/internal/radishsite/rollout_failure_test.go
@@ -181,7 +181,11 @@
 		c.checkExposure("v3", orderedAt, orderedAt.Add(testDuration))
 		v3RevertedAt := c.checkFinal(radish.RolloutReverted, "v3", time.Now())
 		c.store.put("s", "v4", testDuration)
-		time.Sleep(testDuration + time.Second)
+		time.Sleep(time.Second)
+		// A VM that starts now cannot read from the store that v2 is served and v3 was reverted.
+		c.stopVM(c.vms[1])
+		c.restart(1)
+		time.Sleep(testDuration)
 		v4CompletedAt := c.checkFinal(radish.RolloutCompleted, "v4", time.Now())
 		time.Sleep(time.Second)
 		c.checkNoCalls("v1", v2CompletedAt)
--- a/internal/radishsite/rollout_order.go
+++ b/internal/radishsite/rollout_order.go
@@ -28,7 +28,7 @@
 	if s.hasOrder && s.order.Name == o.Name && s.order.Revision > o.Revision {
 		return
 	}
-	if !s.hasOrder || coreOrder(s.order).ID() != coreOrder(o).ID() {
+	if !s.hasOrder || s.orderID != coreOrder(o).ID() {
 		m.start(s, o, source, now)
 	}
 	s.order = o
@@ -57,7 +57,7 @@
 	s.bar()
 	s.unbar(o.Version)
 	settings := m.settings()
-	s.hasOrder, s.order, s.finished = true, o, ""
+	s.hasOrder, s.order, s.orderID, s.finished = true, o, coreOrder(o).ID(), ""
 	s.writer, s.decision, s.loggedAt = statusWriter{}, radishrollout.Decision{}, time.Time{}
 	s.rollout = &radishrollout.Rollout{
 		Order: coreOrder(o), Self: m.self, StartedAt: now, VMs: max(1, m.vmCount()),
--- a/internal/radishsite/rollout_status.go
+++ b/internal/radishsite/rollout_status.go
@@ -90,7 +90,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.services[order.Service]
-	if s == nil || !s.isRunning() || coreOrder(s.order).ID() != coreOrder(order).ID() {
+	if s == nil || !s.isRunning() || s.orderID != coreOrder(order).ID() {
 		return
 	}
 	w := &s.writer
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -118,7 +118,7 @@
 		Log: s.Log.Named("stage"),
 	}
 	s.relay = &radishrelay.Relay{
-		Config: s.state.config.Load, ConfigAge: s.state.configAge, Fleet: s.fleet, Forwarder: s.Forwarder, Prober: s.Prober, Stages: s.peers.router,
+		Config: s.state.servedConfig, ConfigAge: s.state.configAge, Fleet: s.fleet, Forwarder: s.Forwarder, Prober: s.Prober, Stages: s.peers.router,
 		RetryBudget: &radishtarget.RetryBudget{Burst: s.retryBurst},
 		RetryRatio:  func() float64 { return s.currentSettings.Load().RetryBudgetRatio },
 		Engines:     &radishengine.Estimator{}, Quarantine: s.quarantine, OnEvidence: s.peers.shareReports, Metrics: s.metrics, Log: s.Log.Named("call"),
