--- a/pkg/radishrollout/comparison.go
+++ b/pkg/radishrollout/comparison.go
@@ -171,6 +171,11 @@
 	return responses < fewResponses && c.tables[kindSlow].isInDoubt()
 }
 
+// isDoubtOfFailures reports whether the candidate is in doubt because of failures, not of slow responses.
+func (c *comparison) isDoubtOfFailures() bool {
+	return c.tables[kindFailure].isInDoubt() || c.worst >= doubtPart && c.worstKey.kind == kindFailure
+}
+
 func (w *routeWindow) isComplete(total *RouteEvidence, now time.Time) bool {
 	elapsed := now.Sub(w.startAt)
 	if elapsed < windowTime {
--- a/pkg/radishrollout/progress.go
+++ b/pkg/radishrollout/progress.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -48,7 +50,6 @@
 		return
 	}
 	r.now = now
-	r.adoptPeers(now)
 	r.compare(now)
 	if r.final != "" || r.verdict != "" {
 		return
@@ -177,13 +178,25 @@
 // hasQuorum reports whether this VM and those that it has heard of lately are at least half of all. A VM that is cut off must not
 // send to the candidate, since it would not learn that the others reverted the order.
 func (r *Rollout) hasQuorum(now time.Time) bool {
-	count := 1
+	needed := (r.VMs+1)/2 - 1 // besides this one
+	switch {
+	case needed <= 0:
+		return true
+	case needed > len(r.heardAts):
+		return false
+	}
+	return now.Sub(r.heardAts[needed-1]) < heardTTL
+}
+
+// updateHeard determines when each other VM was last heard of, the latest first.
+func (r *Rollout) updateHeard() {
+	heardAt := make(map[string]time.Time)
 	for source, rec := range r.sources {
-		if source.VM != r.Self.VM && !rec.heardAt.IsZero() && now.Sub(rec.heardAt) < heardTTL {
-			count++
+		if source.VM != r.Self.VM && rec.heardAt.After(heardAt[source.VM]) {
+			heardAt[source.VM] = rec.heardAt
 		}
 	}
-	return 2*count >= r.VMs
+	r.heardAts = slices.SortedFunc(maps.Values(heardAt), func(a, b time.Time) int { return b.Compare(a) })
 }
 
 // isDrained reports whether all VMs that are heard of are draining and have no calls in flight at old targets. All traffic is
--- a/pkg/radishrollout/rollout.go
+++ b/pkg/radishrollout/rollout.go
@@ -28,6 +28,8 @@
 	budget  budget
 	// maxVMs is the largest number of VMs so far.
 	maxVMs int
+	// heardAts are the times at which the other VMs were last heard of, the latest first.
+	heardAts []time.Time
 
 	// totals are the counts of all sources when they were last compared, at comparedAt.
 	totals     map[string]*RouteEvidence
@@ -127,9 +129,10 @@
 func (r *Rollout) Evidence() []Evidence {
 	self := r.self()
 	self.age, self.phase = r.age(r.now), r.reportedPhase()
+	id := r.Order.ID()
 	exported := make([]Evidence, 0, len(r.sources))
 	for source, rec := range r.sources {
-		exported = append(exported, rec.export(source, r.Order.ID()))
+		exported = append(exported, rec.export(source, id))
 	}
 	slices.SortFunc(exported, func(a, b Evidence) int { return compareSources(a.Source, b.Source) })
 	return exported
@@ -158,8 +161,9 @@
 // Merge adds evidence of peers and reports whether anything was new. Evidence beyond the limits or of another order is ignored.
 func (r *Rollout) Merge(e []Evidence, now time.Time) (changed bool) {
 	r.self() // counts towards the limit on sources
+	id := r.Order.ID()
 	for i := range e {
-		if e[i].OrderRevision != r.Order.ID() || !e[i].isValid() {
+		if e[i].OrderRevision != id || !e[i].isValid() {
 			continue
 		}
 		r.adoptAge(e[i].Age, now)
@@ -169,6 +173,8 @@
 		changed = r.source(e[i].Source).merge(&e[i], now) || changed
 	}
 	r.dropExcess()
+	r.updateHeard()
+	r.adoptPeers(now)
 	r.advance(now)
 	return changed
 }
--- a/pkg/radishrollout/suspect.go
+++ b/pkg/radishrollout/suspect.go
@@ -7,6 +7,9 @@
 	minSuspectBad = 4
 	// suspectShare is the share of the candidate's bad responses that come from one target if that is suspected.
 	suspectShare = 0.8
+	// minOthersBad is the number of bad responses that others would have at the suspected target's rate before the rollout goes on.
+	// With 6, they have fewer than 3 by chance with a probability of 0.06; 3 are in doubt again.
+	minOthersBad = 6
 	// settleTime is the time until all VMs avoid the suspected target and its last responses have come.
 	settleTime = time.Second
 )
@@ -19,6 +22,8 @@
 	settledAt time.Time
 	isSettled bool
 	responses uint64
+	// needed is the number of responses of other targets after which the rollout goes on.
+	needed uint64
 }
 
 // SuspectTarget returns the candidate's target that must get no calls while the rollout runs, "" if there is none.
@@ -38,7 +43,10 @@
 }
 
 func (r *Rollout) startSuspecting(target string, now time.Time) {
-	r.suspect = suspect{target: target, settledAt: now.Add(settleTime)}
+	r.suspect = suspect{target: target, settledAt: now.Add(settleTime), needed: minResponses}
+	if r.comparison.isDoubtOfFailures() {
+		r.suspect.needed = responsesNeeded(r.totals, target)
+	}
 	r.self().suspect = target
 }
 
@@ -58,7 +66,20 @@
 		return false
 	}
 	_, responses := r.evidenceCounts()
-	return !r.suspect.isSettled || responses < r.suspect.responses+minResponses
+	return !r.suspect.isSettled || responses < r.suspect.responses+r.suspect.needed
+}
+
+// responsesNeeded returns how many responses of other targets show whether they have the named target's rate of bad responses. It
+// is used for failures; slow responses come at once when a machine is slow for a moment, so that their rate says little.
+func responsesNeeded(totals map[string]*RouteEvidence, target string) uint64 {
+	responses, bad := uint64(0), uint64(0)
+	for _, counts := range totals {
+		if i, ok := counts.findTarget(target); ok {
+			responses += counts.Targets[i].Responses
+			bad += counts.Targets[i].Bad
+		}
+	}
+	return max(minResponses, minOthersBad*responses/max(1, bad))
 }
 
 // suspectOf returns the target from which nearly all bad responses come, "" if there is none.
