Test a rollout over 30 VMs with uneven shares of the callers

The replays had 8 VMs at most. With 30, of which most get few calls, good versions are completed and bad ones reverted within the limits (2 seeds each).

--- a/pkg/radishrollout/rollout_test.go
+++ b/pkg/radishrollout/rollout_test.go
@@ -121,6 +121,24 @@
 	}
 }
 
+// TestReplayManyVMs guards against parts of the limits that add up to more than the whole, or to too little evidence, where most VMs
+// have few calls.
+func TestReplayManyVMs(t *testing.T) {
+	shares, sum := make([]float64, 30), 0.0
+	for i := range shares {
+		shares[i] = 1 / float64(i+1)
+		sum += shares[i]
+	}
+	for i := range shares {
+		shares[i] /= sum
+	}
+	for seed := range uint64(2) {
+		checkReplay(t, newReplay(12*time.Second, 200, shares, usual), seed, PhaseCompleted)
+		checkReplay(t, newReplay(12*time.Second, 200, shares, failing(0.3, always)), seed, PhaseReverted)
+		checkReplay(t, newReplay(12*time.Second, 200, shares, slow(1, 4)), seed, PhaseReverted)
+	}
+}
+
 // TestReplayFewCalls guards against serving a version on less evidence than 30 responses, and against reverting one with just enough.
 func TestReplayFewCalls(t *testing.T) {
 	for _, tc := range []struct {
