Check configurations before they are stored

Cause: a faulty configuration showed only once VMs had it. Subcommands can choose the exit code of the process.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 fuzz: ## Play COUNT drawn scripts from SEED (0: a new one each time) against the claims, the lease, the rules and whole VMs.
 	go test -count=1 -v -run UnderFaults ./pkg/radishclaim ./pkg/radishlease ./pkg/radishconfig -rapid.seed=$(SEED) -rapid.checks=$(COUNT)
 	go test -count=1 -v -timeout 60m -run UnderFaults ./internal/radishserve -rapid.seed=$(SEED) -rapid.checks=$(COUNT)
-	for target in ./pkg/radishrule:FuzzParse ./internal/radishsetting:FuzzParse ./internal/radishentry:FuzzRequest ./internal/radishrelay:FuzzReadEvent ./internal/radishserve:FuzzPeerFrame \
+	for target in ./pkg/radishrule:FuzzParse ./internal/radishsetting:FuzzParse ./internal/radishentry:FuzzRequest ./internal/radishrelay:FuzzReadEvent ./internal/radishcheck:FuzzCheck ./internal/radishserve:FuzzPeerFrame \
 		./platform/radishadapter:FuzzParseSite ./platform/radishadapter:FuzzRecords ./platform/radishadapter:FuzzDecodeCall; do go test -run XXX -fuzz "^$${target#*:}$$" -fuzztime 10s "$${target%:*}" || exit 1; done
 
 soak: ## Play COUNT seeds of drawn faults from SEED (0: new ones) against entry VMs as processes, SECONDS of faults each.
--- a/cmd/main.go
+++ b/cmd/main.go
@@ -18,6 +18,23 @@
 	exitUsage  = 2
 )
 
+// exitError ends the process with the code. A nil err means that the command has printed the reason.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error returns the reason, or "" if the command has printed it.
+func (e *exitError) Error() string {
+	if e.err == nil {
+		return ""
+	}
+	return e.err.Error()
+}
+
+// Unwrap returns the reason.
+func (e *exitError) Unwrap() error { return e.err }
+
 // subcommand is an entry of the registry of subcommands; its command defines the flags and runs it.
 type subcommand struct {
 	short   string
@@ -47,6 +64,11 @@
 	}
 	parser.CommandHandler = runCommand
 	_, err := parser.ParseArgs(args)
+	return exitCode(err)
+}
+
+// exitCode prints the error that a subcommand returned and returns the exit code of the process.
+func exitCode(err error) int {
 	if err == nil {
 		return exitOK
 	}
@@ -59,6 +81,13 @@
 		fmt.Fprintln(os.Stderr, usageErr.Message)
 		return exitUsage
 	}
+	var exitErr *exitError
+	if errors.As(err, &exitErr) {
+		if exitErr.err != nil {
+			fmt.Fprintln(os.Stderr, exitErr)
+		}
+		return exitErr.code
+	}
 	fmt.Fprintln(os.Stderr, err)
 	return exitFailed
 }
