Account for the memory that calls hold

Cause: bodies were read whole before any decision, nothing bounded the sum of bodies, heads and responses, and kernel buffers grew to megabytes each. Change: internal/radishmemory grants bytes out of the VM's memory; bodies are read in steps, held once, and refused as not run (503) when memory is short. Stalled bodies and unread responses lose their bytes first. Route, key, pieces, size and quarantine are checked before the body is read. Heads count by bytes and lines. Buffers of callers' and targets' connections are bounded, and a caller may leave data unread for 10 s instead of 1 s.

--- a/cmd/site.go
+++ b/cmd/site.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"radishramp.example/radishramp/internal/radishmemory"
 	"radishramp.example/radishramp/internal/radishsignal"
 	"radishramp.example/radishramp/internal/radishsite"
 	"radishramp.example/radishramp/pkg/radish"
@@ -62,7 +63,7 @@
 // the address for callers.
 func newSiteServer(site *radish.PlatformSettings, log hclog.Logger, metricsPort string) *radishsite.Server {
 	targets := &radishadapter.TargetClient{
-		ForwardHTTP: &http.Client{Transport: radishadapter.NewTransport(false)},
+		ForwardHTTP: &http.Client{Transport: radishadapter.LimitBuffers(radishadapter.NewTransport(false), radishsite.BufferBytes(site))},
 		ReleaseHTTP: &http.Client{Transport: radishadapter.NewTransport(true)},
 	}
 	host, _, _ := net.SplitHostPort(site.CallerAddress)
@@ -70,8 +71,8 @@
 		InitialSettings: site, Store: &radishadapter.StoreClient{Address: site.StoreAddress, HTTP: &http.Client{Transport: radishadapter.NewTransport(true)}},
 		Decoder: radishadapter.RecordDecoder{}, Forwarder: targets, Prober: targets, StageClient: targets, Log: log,
 		MetricsAddress: net.JoinHostPort(host, metricsPort),
-		NewCallerHandler: func(handler radish.CallHandler, maxBody func() int64, isLeaving func() bool) http.Handler {
-			return &radishadapter.FrontEnd{Handler: handler, MaxBody: maxBody, IsLeaving: isLeaving}
+		NewCallerHandler: func(handler radish.CallHandler, memory *radishmemory.Account, maxBody func() int64, isLeaving func() bool) http.Handler {
+			return &radishadapter.FrontEnd{Handler: handler, Memory: memory, MaxBody: maxBody, IsLeaving: isLeaving}
 		},
 	}
 	targets.Observer = server
--- a/internal/radishdial/dial.go
+++ b/internal/radishdial/dial.go
@@ -1,6 +1,7 @@
 package radishdial
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -37,18 +38,53 @@
 	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: setUserTimeout}
 }
 
+// NewCallerListenConfig returns a listen configuration for callers: sent data may stay unacknowledged, and unread by the caller, for the
+// timeout, and each buffer of a connection has the size in bytes; 0 means the kernel's default.
+func NewCallerListenConfig(timeout time.Duration, bufferBytes int) *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: func(_, _ string, conn syscall.RawConn) error {
+		return control(conn, func(fd int) error {
+			return errors.Join(setTimeout(fd, timeout), setBuffers(fd, bufferBytes))
+		})
+	}}
+}
+
+// NewBufferedDialer returns a dialer like that of [NewDialer] whose connections have buffers of the size.
+func NewBufferedDialer(bufferBytes int) *net.Dialer {
+	d := NewDialer()
+	d.Control = func(_, _ string, conn syscall.RawConn) error {
+		return control(conn, func(fd int) error {
+			return errors.Join(setTimeout(fd, ackTimeout), setBuffers(fd, bufferBytes))
+		})
+	}
+	return d
+}
+
 func keepAliveConfig() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on the socket.
 func setUserTimeout(_, _ string, conn syscall.RawConn) error {
-	var sockoptErr error
-	err := conn.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-	})
-	if err != nil {
+	return control(conn, func(fd int) error { return setTimeout(fd, ackTimeout) })
+}
+
+func setTimeout(fd int, timeout time.Duration) error {
+	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+}
+
+// setBuffers sets the sizes of the kernel's buffers of the socket.
+func setBuffers(fd, bytes int) error {
+	if bytes <= 0 {
+		return nil
+	}
+	return errors.Join(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes), unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, bytes))
+}
+
+// control calls f with the descriptor of the socket.
+func control(conn syscall.RawConn, f func(fd int) error) error {
+	var controlErr error
+	if err := conn.Control(func(fd uintptr) { controlErr = f(int(fd)) }); err != nil {
 		return err
 	}
-	return sockoptErr
+	return controlErr
 }
--- /dev/null
+++ b/internal/radishmemory/budget.go
@@ -0,0 +1,37 @@
+package radishmemory
+
+const (
+	// runtimeShare is the limit of the Go runtime as a share of a VM's memory; the rest is for the program's text and the kernel's buffers.
+	runtimeShare = 0.7
+	// grantShare is the share of a VM's memory that calls may hold, less fixedBytes. The rest is for garbage that is not collected yet.
+	grantShare = 0.6
+	// fixedBytes is what a VM needs for connections, configuration and the state of targets.
+	fixedBytes = 24 << 20
+	// minBudgetShare is the least share of a VM's memory that calls may hold, for VMs with little memory.
+	minBudgetShare = 0.1
+	// bufferShare is the share of a VM's memory for the kernel's receive buffers of all callers' connections.
+	bufferShare = 1.0 / 6
+	// Limits on the size of one buffer of a connection. A window of 32 kB holds an ordinary call, and larger ones take more memory than
+	// most connections use.
+	minBufferBytes = 32 << 10
+	maxBufferBytes = 64 << 10
+)
+
+// RuntimeLimit returns the memory limit of the Go runtime for a VM with the memory; 0 means no limit.
+func RuntimeLimit(memoryMB int) int64 { return int64(runtimeShare * float64(memoryBytes(memoryMB))) }
+
+// Budget returns the bytes that the calls of a VM with the memory may hold; 0 means no limit.
+func Budget(memoryMB int) int64 {
+	memory := float64(memoryBytes(memoryMB))
+	return int64(max(grantShare*memory-fixedBytes, minBudgetShare*memory))
+}
+
+// BufferBytes returns the size of a kernel buffer of each of conns connections of a VM with the memory; 0 means the kernel's default.
+func BufferBytes(memoryMB, conns int) int {
+	if memoryMB <= 0 || conns <= 0 {
+		return 0
+	}
+	return int(min(max(bufferShare*float64(memoryBytes(memoryMB))/float64(conns), minBufferBytes), maxBufferBytes))
+}
+
+func memoryBytes(memoryMB int) int64 { return int64(memoryMB) << 20 }
--- /dev/null
+++ b/internal/radishmemory/conn.go
@@ -0,0 +1,119 @@
+package radishmemory
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// headByteCost and headLineCost are the memory that a byte and a line of the head of a request take: net/http decodes it, and the
+	// header that is forwarded is a copy.
+	headByteCost = 2
+	headLineCost = 256
+	// minHeadBytes is the lowest limit on the size of a head. It is twice what a configuration allows on ordinary days.
+	minHeadBytes = 32 << 10
+	// readAheadBytes is what net/http may read beyond a head at once.
+	readAheadBytes = 4 << 10
+)
+
+// ErrHeadTooLarge is the error of reading a head beyond the limit or without memory for it.
+var ErrHeadTooLarge = errors.New("head of the request is larger than the limit, or memory is short")
+
+// Listener accepts connections whose heads of requests count towards the account.
+type Listener struct {
+	net.Listener
+	Account *Account
+	// MaxHeadBytes returns the configuration's limit on the head of a request.
+	MaxHeadBytes func() int
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	conn := &Conn{Conn: c, listener: l}
+	conn.BeginHead()
+	return conn, nil
+}
+
+// Conn is a connection of a caller.
+type Conn struct {
+	net.Conn
+	listener *Listener
+
+	mu sync.Mutex
+	// isHead is whether the head of a request is expected or arrives; head holds its memory until the request ends.
+	isHead    bool
+	headBytes int
+	head      *Grant
+}
+
+// BeginHead is called when the connection waits for a request. It releases the head of the last one.
+func (c *Conn) BeginHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.Close()
+	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	c.isHead, c.headBytes, c.head = true, 0, c.listener.Account.Open(host, c.CutOff)
+}
+
+// EndHead is called when the head of a request was read.
+func (c *Conn) EndHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isHead = false
+	c.head.SetState(Running, time.Now())
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.countHead(p[:n]) {
+		return 0, ErrHeadTooLarge
+	}
+	return n, err
+}
+
+// countHead counts bytes of a head and reports whether there is memory for them.
+func (c *Conn) countHead(p []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isHead {
+		return true
+	}
+	c.headBytes += len(p)
+	if c.headBytes > max(minHeadBytes, 2*c.listener.MaxHeadBytes())+readAheadBytes {
+		return false
+	}
+	return c.head.Grow(int64(headByteCost*len(p)+headLineCost*bytes.Count(p, []byte("\n"))), time.Now())
+}
+
+// CutOff makes pending and later reads and writes fail.
+func (c *Conn) CutOff() { _ = c.SetDeadline(time.Unix(1, 0)) }
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	c.head.Close()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+type connKey struct{}
+
+// WithConn is the ConnContext function of an HTTP server: requests of the connection can find it by [ConnOf].
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ConnOf returns the connection of a request, or nil if it is not a *Conn.
+func ConnOf(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
--- a/internal/radishrelay/cut.go
+++ b/internal/radishrelay/cut.go
@@ -31,11 +31,28 @@
 	if d.Verdict != radishquarantine.Refused {
 		return radish.Refusal{}, true
 	}
+	return e.refusalOf(d), false
+}
+
+// refusalOf returns the refusal for a call whose prompt is quarantined.
+func (e *exchange) refusalOf(d radishquarantine.Decision) radish.Refusal {
 	reason := fmt.Sprintf("targets ended %d times under calls with the prompt parts %s", d.Group.Crashes, strings.Join(d.Group.Parts, ", "))
 	if e.possibleExecutions > 0 {
-		return radish.Refusal{Kind: radish.RefusalTargetFailed, Reason: reason}, false
+		return radish.Refusal{Kind: radish.RefusalTargetFailed, Reason: reason}
+	}
+	return radish.Refusal{Kind: radish.RefusalNotExecuted, RetryAfter: d.RetryAfter, Reason: reason}
+}
+
+// checkKnownCrash decides whether a call whose body was not read yet can be refused since its prompt crashes targets. It takes no trial.
+func (e *exchange) checkKnownCrash() (radish.Refusal, bool) {
+	parts := sharedPromptIDs(e.call.Prompt)
+	if len(parts) == 0 {
+		return radish.Refusal{}, true
+	}
+	if d := e.relay.Quarantine.Preview(parts, time.Now()); d.Verdict == radishquarantine.Refused {
+		return e.refusalOf(d), false
 	}
-	return radish.Refusal{Kind: radish.RefusalNotExecuted, RetryAfter: d.RetryAfter, Reason: reason}, false
+	return radish.Refusal{}, true
 }
 
 // recordAnswer records that a target responds to the call, which clears the parts of its prompt.
--- a/internal/radishrelay/exchange.go
+++ b/internal/radishrelay/exchange.go
@@ -55,9 +55,8 @@
 	outcome         string
 }
 
-// admit resolves the call's route, team and service and sets its deadlines. If it returns false, the call must be
-// refused.
-func (e *exchange) admit() (radish.Refusal, bool) {
+// resolve resolves the call's route, team and service. If it returns false, the call must be refused.
+func (e *exchange) resolve() (radish.Refusal, bool) {
 	e.cfg = e.relay.Config()
 	if e.cfg == nil {
 		return radish.Refusal{Kind: radish.RefusalNotExecuted, RetryAfter: jitter(noConfigRetryAfter), Reason: "no configuration yet"}, false
@@ -81,6 +80,15 @@
 			Kind: radish.RefusalBadRequest, Reason: fmt.Sprintf("%d pieces of one stage, at most %d are taken", n, radishstage.MaxPieces),
 		}, false
 	}
+	return radish.Refusal{}, true
+}
+
+// admit resolves the call's route, team and service and sets its deadlines. If it returns false, the call must be
+// refused.
+func (e *exchange) admit() (radish.Refusal, bool) {
+	if refusal, ok := e.resolve(); !ok {
+		return refusal, false
+	}
 	if refusal, ok := e.checkQuarantine(); !ok {
 		return refusal, false
 	}
@@ -110,9 +118,7 @@
 // refuse responds with a refusal, or aborts a response that has already started.
 func (e *exchange) refuse(r radish.Refusal) {
 	e.outcome = string(r.Kind)
-	e.relay.Log.Info("call refused", "id", e.call.ID, "kind", string(r.Kind), "reason", r.Reason,
-		"retry_after_ms", r.RetryAfter.Milliseconds(), "route", e.routeName(), "config_version", e.configVersion(),
-		"sends", e.possibleExecutions, "age_ms", time.Since(e.call.ReceivedAt).Milliseconds())
+	e.logRefusal(r)
 	if e.responseStarted {
 		e.w.Abort()
 		return
@@ -120,6 +126,12 @@
 	e.w.Refuse(r)
 }
 
+func (e *exchange) logRefusal(r radish.Refusal) {
+	e.relay.Log.Info("call refused", "id", e.call.ID, "kind", string(r.Kind), "reason", r.Reason,
+		"retry_after_ms", r.RetryAfter.Milliseconds(), "route", e.routeName(), "config_version", e.configVersion(),
+		"sends", e.possibleExecutions, "age_ms", time.Since(e.call.ReceivedAt).Milliseconds())
+}
+
 func (e *exchange) routeName() string {
 	if e.route == nil {
 		return ""
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -83,6 +83,21 @@
 	return r.stopCh
 }
 
+// Check implements radish.CallChecker.
+func (r *Relay) Check(call *radish.Call) (radish.Refusal, bool) {
+	e := &exchange{relay: r, call: call}
+	refusal, ok := e.resolve()
+	if ok {
+		refusal, ok = e.checkKnownCrash()
+	}
+	if !ok {
+		e.logRefusal(refusal)
+		e.outcome = string(refusal.Kind)
+		e.finish()
+	}
+	return refusal, ok
+}
+
 // Handle implements radish.CallHandler.
 func (r *Relay) Handle(ctx context.Context, call *radish.Call, w radish.ResponseWriter) {
 	e := &exchange{relay: r, call: call, w: w, triedTargets: make(map[string]bool)}
--- a/internal/radishrelay/response.go
+++ b/internal/radishrelay/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"radishramp.example/radishramp/pkg/radish"
@@ -13,7 +14,7 @@
 
 // relayResponse relays a response that is not an event stream.
 func (e *exchange) relayResponse(ctx context.Context, resp *radish.TargetResponse) (decision, radishfleet.Outcome) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, isComplete, err := e.bufferResponse(resp)
 	if err != nil {
 		return decisionRetry, e.outcomeWithoutResponse(ctx, false)
 	}
@@ -30,7 +31,7 @@
 		e.outcome = outcomeCallerLeft
 		return decisionDone, radishfleet.Outcome{ErrorResponse: isError}
 	}
-	if len(body) < maxBufferedBytes {
+	if isComplete {
 		e.outcome = outcomeAnswered
 		e.recordAnswer()
 		return decisionDone, radishfleet.Outcome{ErrorResponse: isError}
@@ -38,6 +39,41 @@
 	return e.relayRemainder(ctx, resp)
 }
 
+// Sizes of the first and of the largest step in which a response is buffered.
+const (
+	minBufferStep = 4 << 10
+	maxBufferStep = 64 << 10
+)
+
+// bufferResponse reads the response until its end, the limit, or until there is no more memory for the call.
+func (e *exchange) bufferResponse(resp *radish.TargetResponse) (body []byte, isComplete bool, err error) {
+	size := minBufferStep
+	if resp.ContentLength > 0 {
+		// One more byte than announced, since the end is noticed only after it.
+		size = int(min(resp.ContentLength+1, maxBufferStep))
+	}
+	for len(body) < maxBufferedBytes {
+		size = min(size, maxBufferedBytes-len(body))
+		if e.call.Memory != nil && !e.call.Memory.Grow(int64(size), time.Now()) {
+			return body, false, nil
+		}
+		body = slices.Grow(body, size)
+		for end := len(body) + size; len(body) < end && err == nil; {
+			var n int
+			n, err = resp.Body.Read(body[len(body):end])
+			body = body[:len(body)+n]
+		}
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+		size = min(2*size, maxBufferStep)
+	}
+	return body, false, nil
+}
+
 // mayRetryErrorResponse reports whether a call may be retried on another target after the target responded with a
 // server error.
 func (e *exchange) mayRetryErrorResponse(ctx context.Context) bool {
--- a/internal/radishsite/loop.go
+++ b/internal/radishsite/loop.go
@@ -44,6 +44,7 @@
 		add(f.Run)
 	}
 	add(s.callerConns.Run)
+	add(s.logMemory)
 	add(s.peers.node.Run)
 	add(s.peers.Run)
 	add(s.peers.router.ProbeSilentPeers)
--- /dev/null
+++ b/internal/radishsite/memory.go
@@ -0,0 +1,92 @@
+package radishsite
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"radishramp.example/radishramp/internal/radishdial"
+	"radishramp.example/radishramp/internal/radishmemory"
+	"radishramp.example/radishramp/pkg/radish"
+)
+
+const (
+	// callerAckTimeout is how long a caller may leave sent data unread or unacknowledged. Callers pause for a second and more.
+	callerAckTimeout = 10 * time.Second
+	// memoryLogInterval is the shortest time between two log lines about a lack of memory.
+	memoryLogInterval = 5 * time.Second
+)
+
+// memoryBudget returns the bytes that calls may hold; 0 means no limit.
+func (s *Server) memoryBudget() int64 {
+	return radishmemory.Budget(s.currentSettings.Load().MemoryMB)
+}
+
+// BufferBytes returns the size of each kernel buffer of connections to callers and of calls to targets; 0 means the kernel's default.
+func BufferBytes(settings *radish.PlatformSettings) int {
+	return radishmemory.BufferBytes(settings.MemoryMB, maxCallerConns(settings))
+}
+
+func (s *Server) callerListenConfig() *net.ListenConfig {
+	return radishdial.NewCallerListenConfig(callerAckTimeout, BufferBytes(s.InitialSettings))
+}
+
+func (s *Server) callerListener(inner net.Listener) net.Listener {
+	return s.callerConns.Listener(&radishmemory.Listener{Listener: inner, Account: s.memory, MaxHeadBytes: s.maxHeaderBytes})
+}
+
+func (s *Server) maxHeaderBytes() int {
+	if cfg := s.state.config.Load(); cfg != nil {
+		return cfg.Limits.MaxHeaderBytes
+	}
+	return 0
+}
+
+// callerConnState is the hook for changes of the state of a caller's connection.
+func (s *Server) callerConnState(c net.Conn, state http.ConnState) {
+	if conn, ok := c.(*radishmemory.Conn); ok && state == http.StateIdle {
+		conn.BeginHead()
+	}
+	s.callerConns.ConnState(c, state)
+}
+
+func (s *Server) registerMemoryGauges() error {
+	gauges := []struct {
+		name, description string
+		read              func(radishmemory.Stats) int64
+	}{
+		{"radishramp_memory_held", "Bytes that calls hold.", func(m radishmemory.Stats) int64 { return m.Held }},
+		{"radishramp_memory_budget", "Bytes that calls may hold; 0 means no limit.", func(m radishmemory.Stats) int64 { return m.Budget }},
+		{"radishramp_memory_refused", "Requests of calls for memory that were refused.", func(m radishmemory.Stats) int64 { return m.Refused }},
+		{"radishramp_memory_withdrawn", "Calls that lost their memory to others.", func(m radishmemory.Stats) int64 { return m.Evicted }},
+	}
+	for _, g := range gauges {
+		if err := s.metrics.RegisterGauge(g.name, g.description, func() float64 { return float64(g.read(s.memory.Stats())) }); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// logMemory logs, at most once in the interval, that calls were refused or cut off for lack of memory.
+func (s *Server) logMemory(ctx context.Context) error {
+	ticker := time.NewTicker(memoryLogInterval)
+	defer ticker.Stop()
+	var last radishmemory.Stats
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		m := s.memory.Stats()
+		if m.Refused != last.Refused || m.Evicted != last.Evicted {
+			s.Log.Warn("memory is short", "held", m.Held, "budget", m.Budget, "grants", m.Grants,
+				"refused", m.Refused-last.Refused, "withdrawn", m.Evicted-last.Evicted)
+		}
+		last = m
+	}
+}
--- a/internal/radishsite/quota.go
+++ b/internal/radishsite/quota.go
@@ -47,8 +47,10 @@
 )
 
 // maxCallerConns returns the highest number of open connections of callers, or 0 if the number of descriptors is not limited.
-func (s *Server) maxCallerConns() int {
-	fds := s.currentSettings.Load().MaxFDs
+func (s *Server) maxCallerConns() int { return maxCallerConns(s.currentSettings.Load()) }
+
+func maxCallerConns(settings *radish.PlatformSettings) int {
+	fds := settings.MaxFDs
 	if fds <= 0 {
 		return 0
 	}
--- a/internal/radishsite/reload.go
+++ b/internal/radishsite/reload.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"time"
 
+	"radishramp.example/radishramp/internal/radishmemory"
 	"radishramp.example/radishramp/pkg/radish"
 )
 
@@ -16,7 +17,7 @@
 func (s *Server) applySettings(settings *radish.PlatformSettings) {
 	s.currentSettings.Store(settings)
 	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.MemoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(radishmemory.RuntimeLimit(settings.MemoryMB))
 	}
 }
 
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -22,6 +22,7 @@
 	"radishramp.example/radishramp/internal/radishdial"
 	"radishramp.example/radishramp/internal/radishgroup"
 	"radishramp.example/radishramp/internal/radishlog"
+	"radishramp.example/radishramp/internal/radishmemory"
 	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/internal/radishrelay"
 	"radishramp.example/radishramp/internal/radishstage"
@@ -35,8 +36,6 @@
 )
 
 const (
-	// memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of the VM's memory.
-	memoryLimitRatio = 0.7
 	// shutdownAcceptTime is how long a VM that shuts down keeps accepting connections. The load balancer notices the
 	// failed readiness probe within about two checks.
 	shutdownAcceptTime = 3 * time.Second
@@ -51,7 +50,7 @@
 )
 
 // CallerHandlerFactory returns the HTTP handler that serves callers.
-type CallerHandlerFactory func(handler radish.CallHandler, maxBodyBytes func() int64, isLeaving func() bool) http.Handler
+type CallerHandlerFactory func(handler radish.CallHandler, memory *radishmemory.Account, maxBodyBytes func() int64, isLeaving func() bool) http.Handler
 
 // Server is one entry VM on the users' platform. Set the exported fields before calling Run.
 type Server struct {
@@ -80,6 +79,7 @@
 	metrics         *radishmetric.Metrics
 	relay           *radishrelay.Relay
 	callerConns     *radishconn.Limiter
+	memory          *radishmemory.Account
 	leaving         atomic.Bool
 	inFlight        atomic.Int64
 	panics          atomic.Int64
@@ -119,10 +119,11 @@
 		RetryRatio:  func() float64 { return s.currentSettings.Load().RetryBudgetRatio },
 		Engines:     &radishengine.Estimator{}, Quarantine: s.quarantine, OnEvidence: s.peers.shareReports, Metrics: s.metrics, Log: s.Log.Named("call"),
 	}
+	s.memory = &radishmemory.Account{Budget: s.memoryBudget}
 	s.callerConns = &radishconn.Limiter{
 		Max: s.maxCallerConns, HeaderTimeout: s.headerTimeout, IdleTimeout: s.idleTimeout, Log: s.Log.Named("caller"),
 	}
-	return s.registerGauges()
+	return errors.Join(s.registerGauges(), s.registerMemoryGauges())
 }
 
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
@@ -182,7 +183,10 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	callerServer := &http.Server{Handler: s.trackInFlight(s.containPanics(s.callerHandler())), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: s.callerConns.ConnState}
+	callerServer := &http.Server{
+		Handler: s.trackInFlight(s.containPanics(s.callerHandler())), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnContext: radishmemory.WithConn, ConnState: s.callerConnState,
+	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
 	var group run.Group
 	if err := s.addListeners(ctx, &group, callerServer, readyServer); err != nil {
@@ -202,7 +206,7 @@
 }
 
 func (s *Server) callerHandler() http.Handler {
-	return s.NewCallerHandler(s.relay, s.maxBodyBytes, s.leaving.Load)
+	return s.NewCallerHandler(s.relay, s.memory, s.maxBodyBytes, s.leaving.Load)
 }
 
 func (s *Server) maxBodyBytes() int64 {
@@ -267,12 +271,17 @@
 		}{&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, s.MetricsAddress})
 	}
 	for _, entry := range servers {
+		if entry.server == callerServer {
+			listenConfig = s.callerListenConfig()
+		} else {
+			listenConfig = radishdial.NewListenConfig()
+		}
 		listener, err := listenConfig.Listen(ctx, "tcp", entry.address)
 		if err != nil {
 			return trace.ConvertSystemError(err)
 		}
 		if entry.server == callerServer {
-			listener = s.callerConns.Listener(listener)
+			listener = s.callerListener(listener)
 		}
 		radishgroup.AddHTTPServer(group, entry.server, listener)
 	}
--- a/pkg/radishquarantine/quarantine.go
+++ b/pkg/radishquarantine/quarantine.go
@@ -216,6 +216,15 @@
 
 // Check decides whether a call with the parts may be sent. If the verdict is Once, the call counts as a trial.
 func (q *Quarantine) Check(parts []string, now time.Time) Decision {
+	return q.decide(parts, now, true)
+}
+
+// Preview returns what Check would return, without counting the call as a trial.
+func (q *Quarantine) Preview(parts []string, now time.Time) Decision {
+	return q.decide(parts, now, false)
+}
+
+func (q *Quarantine) decide(parts []string, now time.Time, isCounted bool) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.review(now)
@@ -236,7 +245,9 @@
 			if retryAfter := q.untilTrial(&g, now); retryAfter > 0 {
 				return Decision{Verdict: Refused, Group: g, RetryAfter: retryAfter}
 			}
-			q.recordTrial(&g, now)
+			if isCounted {
+				q.recordTrial(&g, now)
+			}
 			decision = Decision{Verdict: Once, Group: g}
 		}
 	}
