--- a/cmd/site.go
+++ b/cmd/site.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -27,10 +28,13 @@
 
 // siteCommand runs the daemon of an entry VM on the users' platform.
 type siteCommand struct {
-	Config      string `short:"c" long:"config" description:"Settings file of the platform; the default is read from the environment" value-name:"FILE"`
-	MetricsPort string `long:"metrics-port" description:"TCP port on the VM's address that serves the metrics" default:"9464" value-name:"PORT"`
-	LogLevel    string `long:"log-level" description:"Minimum level of log lines" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
-	Check       bool   `long:"check" description:"Check the settings and exit"`
+	Config      string        `short:"c" long:"config" description:"Settings file of the platform; the default is read from the environment" value-name:"FILE"`
+	MetricsPort string        `long:"metrics-port" description:"TCP port on the VM's address that serves the metrics" default:"9464" value-name:"PORT"`
+	LogLevel    string        `long:"log-level" description:"Minimum level of log lines" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
+	BodyTimeout time.Duration `long:"body-timeout" description:"Time in which the next 64 kB of a request's body must arrive" default:"10s" value-name:"TIME"`
+	SendTimeout time.Duration `long:"send-timeout" description:"Time in which a caller must take the next 32 kB of a response" default:"10s" value-name:"TIME"`
+	QueueBytes  int64         `long:"queue-bytes" description:"How much of a response waits for a caller that does not read" default:"1048576" value-name:"BYTES"`
+	Check       bool          `long:"check" description:"Check the settings and exit"`
 }
 
 // Execute implements flags.Commander.
@@ -53,15 +57,19 @@
 	log = log.With("vm", site.VM)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	server := newSiteServer(site, log, c.MetricsPort)
+	server := newSiteServer(site, log, c.MetricsPort, c.callerLimits())
 	server.LoadSettings = func() (*radish.PlatformSettings, error) { return radishadapter.LoadSettings(file) }
 	server.SettingsChanged = reload
 	return server.Run(ctx)
 }
 
+func (c *siteCommand) callerLimits() radish.CallerLimits {
+	return radish.CallerLimits{BodyTimeout: c.BodyTimeout, SendTimeout: c.SendTimeout, MaxQueuedBytes: c.QueueBytes}
+}
+
 // newSiteServer returns a server that uses the protocols of the users' platform. Its metrics are served on the host of
 // the address for callers.
-func newSiteServer(site *radish.PlatformSettings, log hclog.Logger, metricsPort string) *radishsite.Server {
+func newSiteServer(site *radish.PlatformSettings, log hclog.Logger, metricsPort string, limits radish.CallerLimits) *radishsite.Server {
 	targets := &radishadapter.TargetClient{
 		ForwardHTTP: &http.Client{Transport: radishadapter.LimitBuffers(radishadapter.NewTransport(false), radishsite.BufferBytes(site))},
 		ReleaseHTTP: &http.Client{Transport: radishadapter.NewTransport(true)},
@@ -70,9 +78,9 @@
 	server := &radishsite.Server{
 		InitialSettings: site, Store: &radishadapter.StoreClient{Address: site.StoreAddress, HTTP: &http.Client{Transport: radishadapter.NewTransport(true)}},
 		Decoder: radishadapter.RecordDecoder{}, Forwarder: targets, Prober: targets, StageClient: targets, Log: log,
-		MetricsAddress: net.JoinHostPort(host, metricsPort),
+		MetricsAddress: net.JoinHostPort(host, metricsPort), SendTimeout: limits.WithDefaults().SendTimeout,
 		NewCallerHandler: func(handler radish.CallHandler, memory *radishmemory.Account, maxBody func() int64, isLeaving func() bool) http.Handler {
-			return &radishadapter.FrontEnd{Handler: handler, Memory: memory, MaxBody: maxBody, IsLeaving: isLeaving}
+			return &radishadapter.FrontEnd{Handler: handler, Memory: memory, Limits: limits, MaxBody: maxBody, IsLeaving: isLeaving}
 		},
 	}
 	targets.Observer = server
--- a/internal/radishrelay/relay_test.go
+++ b/internal/radishrelay/relay_test.go
@@ -344,6 +344,10 @@
 			relay, forwarder := newRelay(&radishroute.Route{Kind: radishroute.KindAtMostOnce}, respondsWith(200, "ok"))
 			call := newCall()
 			test.modify(call, relay)
+			// All but a lack of targets is known before the body is read.
+			if refusal, ok := relay.Check(call); ok != (test.name == "no target") || !ok && refusal.Kind != test.want {
+				t.Errorf("check of the head: %v, refusal %+v, want %q", ok, refusal, test.want)
+			}
 			w := handle(t.Context(), relay, call)
 			if w.refusal == nil || w.refusal.Kind != test.want || len(forwarder.sends) > 0 {
 				t.Errorf("refusal %+v after %d attempts, want %q", w.refusal, len(forwarder.sends), test.want)
--- a/internal/radishsite/memory.go
+++ b/internal/radishsite/memory.go
@@ -14,12 +14,8 @@
 	"radishramp.example/radishramp/pkg/radish"
 )
 
-const (
-	// callerAckTimeout is how long a caller may leave sent data unread or unacknowledged. Callers pause for a second and more.
-	callerAckTimeout = 10 * time.Second
-	// memoryLogInterval is the shortest time between two log lines about a lack of memory.
-	memoryLogInterval = 5 * time.Second
-)
+// memoryLogInterval is the shortest time between two log lines about a lack of memory.
+const memoryLogInterval = 5 * time.Second
 
 // memoryBudget returns the bytes that calls may hold; 0 means no limit.
 func (s *Server) memoryBudget() int64 {
@@ -32,7 +28,7 @@
 }
 
 func (s *Server) callerListenConfig() *net.ListenConfig {
-	return radishdial.NewCallerListenConfig(callerAckTimeout, BufferBytes(s.InitialSettings))
+	return radishdial.NewCallerListenConfig(s.SendTimeout, BufferBytes(s.InitialSettings))
 }
 
 func (s *Server) callerListener(inner net.Listener) net.Listener {
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -67,6 +67,8 @@
 	Prober           radish.TargetProber
 	StageClient      radish.StageClient
 	NewCallerHandler CallerHandlerFactory
+	// SendTimeout is how long a caller may leave sent data unread or unacknowledged.
+	SendTimeout time.Duration
 	// MetricsAddress is the listen address as IP:PORT. If empty, no metrics are served.
 	MetricsAddress string
 	Log            hclog.Logger
--- a/pkg/radishquarantine/quarantine_test.go
+++ b/pkg/radishquarantine/quarantine_test.go
@@ -155,6 +155,12 @@
 	check(lastCrash.Add(firstTrialDelay), Refused)
 	isTrialVM = true
 	trial := lastCrash.Add(firstTrialDelay)
+	// A preview takes no trial.
+	for range 2 {
+		if d := q.Preview([]string{"p"}, trial); d.Verdict != Once {
+			t.Errorf("preview: verdict %v, want %v", d.Verdict, Once)
+		}
+	}
 	check(trial, Once)
 	check(trial.Add(time.Second), Refused)
 	q.RecordCrash("trial", "s", []string{"p"}, trial.Add(2*time.Second))
