--- a/internal/radishdial/dial.go
+++ b/internal/radishdial/dial.go
@@ -1,6 +1,7 @@
 package radishdial
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -37,18 +38,59 @@
 	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: setUserTimeout}
 }
 
+// NewCallerListenConfig returns a listen configuration for callers: sent data may stay unacknowledged, and unread by the caller, for the
+// timeout.
+func NewCallerListenConfig(timeout time.Duration, buffers Buffers) *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: func(_, _ string, conn syscall.RawConn) error {
+		return control(conn, func(fd int) error {
+			return errors.Join(setTimeout(fd, timeout), buffers.set(fd))
+		})
+	}}
+}
+
+// NewBufferedDialer returns a dialer like that of [NewDialer] whose connections have buffers of the sizes.
+func NewBufferedDialer(buffers Buffers) *net.Dialer {
+	d := NewDialer()
+	d.Control = func(_, _ string, conn syscall.RawConn) error {
+		return control(conn, func(fd int) error {
+			return errors.Join(setTimeout(fd, ackTimeout), buffers.set(fd))
+		})
+	}
+	return d
+}
+
 func keepAliveConfig() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on the socket.
 func setUserTimeout(_, _ string, conn syscall.RawConn) error {
-	var sockoptErr error
-	err := conn.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-	})
-	if err != nil {
+	return control(conn, func(fd int) error { return setTimeout(fd, ackTimeout) })
+}
+
+func setTimeout(fd int, timeout time.Duration) error {
+	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+}
+
+// Buffers are the sizes in bytes of the kernel's buffers of a connection; 0 means the kernel's default.
+type Buffers struct{ Receive, Send int }
+
+func (b Buffers) set(fd int) error {
+	var errs []error
+	if b.Receive > 0 {
+		errs = append(errs, unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, b.Receive))
+	}
+	if b.Send > 0 {
+		errs = append(errs, unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, b.Send))
+	}
+	return errors.Join(errs...)
+}
+
+// control calls f with the descriptor of the socket.
+func control(conn syscall.RawConn, f func(fd int) error) error {
+	var controlErr error
+	if err := conn.Control(func(fd uintptr) { controlErr = f(int(fd)) }); err != nil {
 		return err
 	}
-	return sockoptErr
+	return controlErr
 }
--- a/internal/radishsite/gossip.go
+++ b/internal/radishsite/gossip.go
@@ -68,7 +68,11 @@
 		if len(linked) == 0 {
 			continue
 		}
-		p.exchangeHeartbeats(ctx, linked[rand.IntN(len(linked))], p.heartbeat())
+		h := p.heartbeat()
+		if p.rollouts != nil {
+			h.RolloutsDigest = p.rollouts.digest()
+		}
+		p.exchangeHeartbeats(ctx, linked[rand.IntN(len(linked))], h)
 	}
 	return ctx.Err()
 }
@@ -80,7 +84,7 @@
 		CrashesDigest: p.quarantine.Digest(time.Now()), LeavingTargetsDigest: p.state.fleet.LeavingDigest(time.Now()),
 		PacesDigest: p.state.fleet.PaceDigest(),
 	}
-	for _, kind := range radish.RecordKinds {
+	for _, kind := range p.recordKinds() {
 		h.Complete[string(kind)] = p.mirror.CompleteRevision(kind)
 	}
 	return h
@@ -96,6 +100,9 @@
 	if differInReports(h, peer) {
 		p.addReports(h)
 	}
+	if p.rollouts != nil && peer.GetRolloutsDigest() != 0 && peer.GetRolloutsDigest() != p.rollouts.digest() {
+		h.Rollouts, h.RolloutHistories = p.rollouts.encodeEvidence(false), p.rollouts.encodeHistories()
+	}
 	return h
 }
 
@@ -110,6 +117,9 @@
 		return
 	}
 	p.handleHeartbeat(res.GetSite())
+	if h.GetRolloutsDigest() != 0 {
+		p.rollouts.recordAnswer()
+	}
 	if differInReports(p.heartbeat(), res.GetSite()) {
 		p.sendReports(ctx, name)
 	}
--- a/internal/radishsite/reload.go
+++ b/internal/radishsite/reload.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"time"
 
+	"radishramp.example/radishramp/internal/radishmemory"
 	"radishramp.example/radishramp/pkg/radish"
 )
 
@@ -16,7 +17,7 @@
 func (s *Server) applySettings(settings *radish.PlatformSettings) {
 	s.currentSettings.Store(settings)
 	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.MemoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(radishmemory.RuntimeLimit(settings.MemoryMB))
 	}
 }
 
@@ -60,5 +61,6 @@
 	return initial.CallerAddress != current.CallerAddress || initial.ReadyAddress != current.ReadyAddress ||
 		initial.PeerAddress != current.PeerAddress || initial.StoreAddress != current.StoreAddress ||
 		initial.VM != current.VM || initial.DataCentre != current.DataCentre ||
-		initial.ShutdownGrace != current.ShutdownGrace || initial.Cores != current.Cores
+		initial.ShutdownGrace != current.ShutdownGrace || initial.Cores != current.Cores ||
+		initial.HasExposureLimit != current.HasExposureLimit
 }
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -22,6 +22,7 @@
 	"radishramp.example/radishramp/internal/radishdial"
 	"radishramp.example/radishramp/internal/radishgroup"
 	"radishramp.example/radishramp/internal/radishlog"
+	"radishramp.example/radishramp/internal/radishmemory"
 	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/internal/radishrelay"
 	"radishramp.example/radishramp/internal/radishstage"
@@ -32,11 +33,10 @@
 	"radishramp.example/radishramp/pkg/radishmirror"
 	"radishramp.example/radishramp/pkg/radishpeer"
 	"radishramp.example/radishramp/pkg/radishquarantine"
+	"radishramp.example/radishramp/pkg/radishrollout"
 )
 
 const (
-	// memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of the VM's memory.
-	memoryLimitRatio = 0.7
 	// shutdownAcceptTime is how long a VM that shuts down keeps accepting connections. The load balancer notices the
 	// failed readiness probe within about two checks.
 	shutdownAcceptTime = 3 * time.Second
@@ -51,7 +51,7 @@
 )
 
 // CallerHandlerFactory returns the HTTP handler that serves callers.
-type CallerHandlerFactory func(handler radish.CallHandler, maxBodyBytes func() int64, isLeaving func() bool) http.Handler
+type CallerHandlerFactory func(handler radish.CallHandler, memory *radishmemory.Account, maxBodyBytes func() int64, isLeaving func() bool) http.Handler
 
 // Server is one entry VM on the users' platform. Set the exported fields before calling Run.
 type Server struct {
@@ -62,12 +62,16 @@
 	// interval.
 	SettingsChanged <-chan os.Signal
 	Store           radish.RecordStore
-	Decoder         Decoder
-	Forwarder       radish.Forwarder
+	// RolloutStore writes the status of the operator's orders. If it is nil, they are not in force.
+	RolloutStore radish.RolloutStore
+	Decoder      Decoder
+	Forwarder    radish.Forwarder
 	// Prober checks targets at which an attempt was cut. If it is nil, they are not checked.
 	Prober           radish.TargetProber
 	StageClient      radish.StageClient
 	NewCallerHandler CallerHandlerFactory
+	// SendTimeout is how long a caller may leave sent data unread or unacknowledged.
+	SendTimeout time.Duration
 	// MetricsAddress is the listen address as IP:PORT. If empty, no metrics are served.
 	MetricsAddress string
 	Log            hclog.Logger
@@ -77,9 +81,11 @@
 	quarantine      *radishquarantine.Quarantine
 	state           *clusterState
 	peers           *peerManager
+	rollouts        *rolloutManager
 	metrics         *radishmetric.Metrics
 	relay           *radishrelay.Relay
 	callerConns     *radishconn.Limiter
+	memory          *radishmemory.Account
 	leaving         atomic.Bool
 	inFlight        atomic.Int64
 	panics          atomic.Int64
@@ -114,15 +120,29 @@
 		Log: s.Log.Named("stage"),
 	}
 	s.relay = &radishrelay.Relay{
-		Config: s.state.config.Load, ConfigAge: s.state.configAge, Fleet: s.fleet, Forwarder: s.Forwarder, Prober: s.Prober, Stages: s.peers.router,
+		Config: s.state.servedConfig, ConfigAge: s.state.configAge, Fleet: s.fleet, Forwarder: s.Forwarder, Prober: s.Prober, Stages: s.peers.router,
 		RetryBudget: &radishtarget.RetryBudget{Burst: s.retryBurst},
 		RetryRatio:  func() float64 { return s.currentSettings.Load().RetryBudgetRatio },
 		Engines:     &radishengine.Estimator{}, Quarantine: s.quarantine, OnEvidence: s.peers.shareReports, Metrics: s.metrics, Log: s.Log.Named("call"),
 	}
+	s.memory = &radishmemory.Account{Budget: s.memoryBudget}
 	s.callerConns = &radishconn.Limiter{
 		Max: s.maxCallerConns, HeaderTimeout: s.headerTimeout, IdleTimeout: s.idleTimeout, Log: s.Log.Named("caller"),
 	}
-	return s.registerGauges()
+	s.addRollouts()
+	return errors.Join(s.registerGauges(), s.registerMemoryGauges())
+}
+
+// addRollouts puts the operator's orders in force where the settings limit the exposure of versions.
+func (s *Server) addRollouts() {
+	if !s.InitialSettings.HasExposureLimit || s.RolloutStore == nil {
+		return
+	}
+	s.rollouts = &rolloutManager{
+		self: radishrollout.Source{VM: s.peers.self.Name, Incarnation: s.peers.self.Incarnation}, settings: s.currentSettings.Load,
+		vmCount: s.peers.listedVMCount, metrics: s.metrics, log: s.Log.Named("rollout"),
+	}
+	s.fleet.Versions, s.state.rollouts, s.peers.rollouts = s.rollouts, s.rollouts, s.rollouts
 }
 
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
@@ -157,6 +177,7 @@
 		{"radishramp_caller_connections_closed", "Unused connections of callers closed after their time or in favour of new ones.", func() float64 {
 			return float64(s.callerConns.Stats().Closed)
 		}},
+		{"radishramp_rollouts_running", "Orders to roll out a version that have no final state.", func() float64 { return float64(s.rollouts.runningCount()) }},
 		{"radishramp_store_away", "1 while the store does not answer.", func() float64 { return radishmetric.BoolValue(s.state.isStoreUnreachable()) }},
 		{"radishramp_is_ready", "1 while the VM says that it is ready.", func() float64 { return radishmetric.BoolValue(s.isReady()) }},
 	}
@@ -182,7 +203,10 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	callerServer := &http.Server{Handler: s.trackInFlight(s.containPanics(s.callerHandler())), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: s.callerConns.ConnState}
+	callerServer := &http.Server{
+		Handler: s.trackInFlight(s.containPanics(s.callerHandler())), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnContext: radishconn.WithConn, ConnState: s.callerConnState,
+	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
 	var group run.Group
 	if err := s.addListeners(ctx, &group, callerServer, readyServer); err != nil {
@@ -202,7 +226,7 @@
 }
 
 func (s *Server) callerHandler() http.Handler {
-	return s.NewCallerHandler(s.relay, s.maxBodyBytes, s.leaving.Load)
+	return s.NewCallerHandler(s.relay, s.memory, s.maxBodyBytes, s.leaving.Load)
 }
 
 func (s *Server) maxBodyBytes() int64 {
@@ -267,12 +291,17 @@
 		}{&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, s.MetricsAddress})
 	}
 	for _, entry := range servers {
+		if entry.server == callerServer {
+			listenConfig = s.callerListenConfig()
+		} else {
+			listenConfig = radishdial.NewListenConfig()
+		}
 		listener, err := listenConfig.Listen(ctx, "tcp", entry.address)
 		if err != nil {
 			return trace.ConvertSystemError(err)
 		}
 		if entry.server == callerServer {
-			listener = s.callerConns.Listener(listener)
+			listener = s.callerListener(listener)
 		}
 		radishgroup.AddHTTPServer(group, entry.server, listener)
 	}
--- a/internal/radishstage/dispatch.go
+++ b/internal/radishstage/dispatch.go
@@ -18,12 +18,13 @@
 	usable := c.usableTargets(service, now)
 	idle := c.idleTargets(usable, batch, now)
 	d := &serviceDispatch{
-		service: service, queue: q, batch: batch, usable: usable, usableDataCentres: dataCentresOf(usable), now: now,
+		service: service, queue: q, batch: batch, maxPieces: batch.MaxPieces, usable: usable, usableDataCentres: dataCentresOf(usable), now: now,
 		ordersByClass: q.HasSeveralClasses() && c.isShort(service, q, batch, now), timeFactors: c.Fleet.TimeFactors(service, now),
 	}
 	if d.timeFactors != nil {
 		c.sortBySpeed(d, idle)
 	}
+	c.startCandidateBatches(*d, idle)
 	idle = c.startBatches(d, idle, dataCentresOf(idle))
 	c.startBatches(d, idle, nil)
 }
@@ -34,6 +35,7 @@
 	queue             *radishbatch.Queue
 	batch             *radishroute.BatchSettings
 	usable            []radish.Target
+	maxPieces         int
 	usableDataCentres map[string]bool
 	now               time.Time
 	// ordersByClass is whether the order of classes precedes that of due times.
@@ -63,7 +65,7 @@
 	for n, t := range idle {
 		spec := radishbatch.BatchSpec{
 			Target: t.Name, DataCentre: t.DataCentre,
-			MaxPieces: d.batch.MaxPieces, MaxResultBytes: c.stateOf(t).space.FreeBytes(d.batch.ResultMemoryBytes, d.now),
+			MaxPieces: d.maxPieces, MaxResultBytes: c.stateOf(t).space.FreeBytes(d.batch.ResultMemoryBytes, d.now),
 			Overhead: d.batch.CallTime, PieceTime: d.batch.PieceTime,
 			IdleTargets: len(stillIdle) + len(idle) - n, UsableTargets: len(d.usable),
 			UsableDataCentres: d.usableDataCentres, ReservedDataCentres: reserved, OrdersByClass: d.ordersByClass,
--- a/internal/radishstage/stage_call.go
+++ b/internal/radishstage/stage_call.go
@@ -32,6 +32,7 @@
 func (c *Coordinator) startCall(t radish.Target, d *serviceDispatch, items []*radishbatch.Item) {
 	service, batch, now := d.service, d.batch, d.now
 	c.stateOf(t).activeCalls++
+	c.Fleet.RecordVersionSend(t, versionRoute, len(items), now)
 	expected := batch.CallTime + time.Duration(len(items))*batch.PieceTime
 	// A slow target is given the time that it takes.
 	expectedHere := scale(expected, max(1, d.timeFactor(t)))
@@ -137,6 +138,7 @@
 	s.endOfCall(call.expectedEnd)
 	c.endReservation(call, s, now)
 	s.activeCalls = max(0, s.activeCalls-1)
+	c.Fleet.RecordVersionResult(call.target, call.versionResult(), now)
 	c.Metrics.RecordStageCall(call.service, call.took, len(call.items), call.err == nil)
 	c.Log.Debug("stage call ended", "target", call.target.Name, "service", call.service, "pieces", len(call.items),
 		"took_ms", call.took.Milliseconds(), "expected_ms", call.expected.Milliseconds(),
--- a/pkg/radishfleet/uneven_test.go
+++ b/pkg/radishfleet/uneven_test.go
@@ -13,8 +13,9 @@
 // leastCost returns the target that the choice by load and failures alone prefers: the first one with the least cost.
 func leastCost(f *Fleet, now time.Time) string {
 	best, bestCost := "", math.Inf(1)
+	versions := f.versionsFor("s", "", 0, now)
 	for _, s := range f.byService["s"] {
-		if !f.isAvailable(s, now) {
+		if !f.isAvailable(s, versions, now) {
 			continue
 		}
 		load := float64(s.inFlight)
