--- a/internal/radishtarget/retry_budget.go
+++ b/internal/radishtarget/retry_budget.go
@@ -61,3 +61,25 @@
 	b.tokens[service]--
 	return true
 }
+
+// minCopyShare is the part of a full bucket that must be left for a copy of a call that has not failed: retries of failed calls come first.
+const minCopyShare = 0.5
+
+// AllowCopy uses one retry of the service's budget for a copy of a call and reports whether this was possible.
+func (b *RetryBudget) AllowCopy(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	tokens := b.tokens[service]
+	if tokens < 1 || tokens < minCopyShare*b.burst() {
+		return false
+	}
+	b.tokens[service]--
+	return true
+}
+
+// Return gives back a retry that was not sent.
+func (b *RetryBudget) Return(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens[service] = min(b.burst(), b.tokens[service]+1)
+}
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -226,6 +226,8 @@
 	PromptTokens int
 	// HasColdLimit is whether cold targets of the service are limited to ColdQuota.
 	HasColdLimit bool
+	// IsCopy is whether the call is at another target already, so that cold, ejected and unreachable targets are no help.
+	IsCopy bool
 }
 
 // Pick chooses a target and counts the call as in flight there until Done is called; ok is false when no target can
@@ -234,7 +236,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.pickBest(q, f.warmTargets(q, now), now)
-	if s == nil {
+	if s == nil && !q.IsCopy {
 		s = f.pickCold(q, now)
 	}
 	if s == nil {
@@ -251,14 +253,14 @@
 	var warm, ejected []*targetState
 	for _, s := range f.byService[q.Service] {
 		switch {
-		case !f.isUsable(s, now), q.Exclude[s.target.Name], q.HasColdLimit && now.Before(s.coldUntil):
+		case !f.isUsable(s, now), q.Exclude[s.target.Name], (q.HasColdLimit || q.IsCopy) && now.Before(s.coldUntil):
 		case f.isExcluded(s, now):
 			ejected = append(ejected, s)
 		default:
 			warm = append(warm, s)
 		}
 	}
-	if len(warm) == 0 {
+	if len(warm) == 0 && !q.IsCopy {
 		return ejected
 	}
 	return warm
