Send copies of slow calls within the operators' limit

Cause: calls that may be repeated wait for a slow target until it responds, although another target would have responded long before. The first usable response is relayed; the other send is cancelled at once and accounted for. Copies count against the attempts of the route, the retry budget and the limit. A cancelled send counts as in flight for as long again as it took, and as a failure after the latency objective. Without the setting, sends are as before.

--- a/cmd/site.go
+++ b/cmd/site.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os/signal"
 	"syscall"
 
+	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
 
 	"radishramp.example/radishramp/internal/radishsignal"
@@ -26,15 +28,25 @@
 
 // siteCommand runs the daemon of an entry VM on the users' platform.
 type siteCommand struct {
-	Config      string `short:"c" long:"config" description:"Settings file of the platform; the default is read from the environment" value-name:"FILE"`
-	MetricsPort string `long:"metrics-port" description:"TCP port on the VM's address that serves the metrics" default:"9464" value-name:"PORT"`
-	LogLevel    string `long:"log-level" description:"Minimum level of log lines" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
-	Check       bool   `long:"check" description:"Check the settings and exit"`
+	Config      string  `short:"c" long:"config" description:"Settings file of the platform; the default is read from the environment" value-name:"FILE"`
+	MetricsPort string  `long:"metrics-port" description:"TCP port on the VM's address that serves the metrics" default:"9464" value-name:"PORT"`
+	HedgeShare  float64 `long:"hedge-share" description:"Copies of slow calls, as a share of the calls of a service, from 0 (none) to 0.5" default:"0" value-name:"SHARE"`
+	LogLevel    string  `long:"log-level" description:"Minimum level of log lines" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
+	Check       bool    `long:"check" description:"Check the settings and exit"`
 }
 
+// maxHedgeShare is the highest limit on copies. With more, the copies and not the calls would decide the load of the targets.
+const maxHedgeShare = 0.5
+
+// errHedgeShare reports a limit on copies that is out of range.
+var errHedgeShare = errors.New("--hedge-share must be from 0 to 0.5")
+
 // Execute implements flags.Commander.
 func (c *siteCommand) Execute([]string) error {
 	reload := radishsignal.Hangups()
+	if !(c.HedgeShare >= 0 && c.HedgeShare <= maxHedgeShare) {
+		return trace.Wrap(errHedgeShare)
+	}
 	file := c.Config
 	if file == "" {
 		file = radishadapter.SettingsPath()
@@ -54,7 +66,7 @@
 	defer stop()
 	server := newSiteServer(site, log, c.MetricsPort)
 	server.LoadSettings = func() (*radish.PlatformSettings, error) { return radishadapter.LoadSettings(file) }
-	server.SettingsChanged = reload
+	server.SettingsChanged, server.HedgeShare = reload, c.HedgeShare
 	return server.Run(ctx)
 }
 
--- a/internal/radishmetric/metric.go
+++ b/internal/radishmetric/metric.go
@@ -24,6 +24,7 @@
 	attempts       metric.Int64Counter
 	cutAttempts    metric.Int64Counter
 	retries        metric.Int64Counter
+	hedges         metric.Int64Counter
 	permits        metric.Int64Counter
 	plans          metric.Int64Counter
 	callSeconds    metric.Float64Histogram
@@ -50,7 +51,7 @@
 }
 
 func (m *Metrics) createInstruments() error {
-	var errs [9]error
+	var errs [10]error
 	m.requests, errs[0] = m.meter.Int64Counter("radishramp_requests", metric.WithDescription("Requests by pipeline and outcome."))
 	m.requestSeconds, errs[1] = m.meter.Float64Histogram("radishramp_request_seconds",
 		metric.WithDescription("Time from a request's arrival to the end of its answer."),
@@ -65,6 +66,7 @@
 		metric.WithExplicitBucketBoundaries(1, 2, 5, 10, 20, 50))
 	m.cutAttempts, errs[8] = m.meter.Int64Counter("radishramp_cut_attempts",
 		metric.WithDescription("Attempts whose connection ended before the response was complete, by service and state of the target."))
+	m.hedges, errs[9] = m.meter.Int64Counter("radishramp_hedges", metric.WithDescription("Copies of slow calls by service and result: sent, answered first, or why denied."))
 	return trace.NewAggregate(errs[:]...)
 }
 
@@ -86,6 +88,7 @@
 		"attempt": {"service", "result"},
 		"cut":     {"service", "target"},
 		"retry":   {"service", ""},
+		"hedge":   {"service", "result"},
 		"permit":  {"result", ""},
 		"plan":    {"outcome", "priority"},
 		"call":    {"service", "result"},
@@ -138,6 +141,13 @@
 	}
 }
 
+// RecordHedge records that a copy of a call was sent, that it responded first, or that it was denied.
+func (m *Metrics) RecordHedge(service, result string) {
+	if m != nil {
+		m.hedges.Add(context.Background(), 1, m.attributeOption("hedge", service, result))
+	}
+}
+
 // RecordPermitRequest records a request for a permit to use a cold target.
 func (m *Metrics) RecordPermitRequest(granted bool) {
 	if m == nil {
--- a/internal/radishrelay/attempt.go
+++ b/internal/radishrelay/attempt.go
@@ -28,7 +28,12 @@
 	e.attemptTimeout, e.attemptStartedAt, e.attemptEvents = req.Timeout, time.Now(), 0
 	e.attemptReadsPrompt = e.service.IsEngine
 	inputBytesByDataCentre := e.inputBytesByDataCentre()
-	resp, err := e.relay.Forwarder.Forward(ctx, req)
+	sent := e.send(ctx, &leg{target: t, req: req, startedAt: startedAt, snapshot: snapshot})
+	resp, err := sent.resp, sent.err
+	if sent.isCopy {
+		t, req, startedAt, snapshot = sent.target, sent.req, sent.startedAt, sent.snapshot
+		e.attemptTimeout, e.attemptStartedAt = req.Timeout, startedAt
+	}
 	d, outcome := e.handleResponse(ctx, t, resp, err)
 	outcome.Load = loadOf(resp)
 	e.recordPromptRead(t)
@@ -37,13 +42,17 @@
 	}
 	e.relay.Fleet.Done(t.Name, outcome, time.Now())
 	e.relay.Metrics.RecordAttempt(e.service.Name, attemptLabel(d, outcome))
+	if sent.isCopy && attemptLabel(d, outcome) == "answered" {
+		e.relay.Metrics.RecordHedge(e.service.Name, copyAnswered)
+	}
 	e.relay.Log.Info("attempt ended", "id", e.call.ID, "target", t.Name, "data_centre", t.DataCentre, "verdict", attemptLabel(d, outcome),
 		"status", statusOf(resp), "took_ms", time.Since(startedAt).Milliseconds(), "left_ms", req.Timeout.Milliseconds(),
 		"record_age_ms", snapshot.RecordAge.Milliseconds(), "busy", snapshot.CallsInFlight, "failure_share", snapshot.FailureRate,
 		"error_share", snapshot.ErrorRate, "uneven", snapshot.IsUneven, "slowness", snapshot.Slowness, "pace", snapshot.Pace,
 		"pace_age_ms", snapshot.PaceAge.Milliseconds(), "expected", snapshot.ExpectedCost, "unread_tokens", snapshot.UnreadTokens,
 		"cold", snapshot.IsCold, "usable", snapshot.UsableTargets, "targets", snapshot.TotalTargets, "resume_after", req.ResumeAfter,
-		"input_bytes", inputBytesByDataCentre, "prompt", promptIDs(e.call.Prompt), "events", e.attemptEvents, "error", radishlog.ErrorText(err))
+		"input_bytes", inputBytesByDataCentre, "prompt", promptIDs(e.call.Prompt), "events", e.attemptEvents, "copy", sent.isCopy,
+		"copied_after_ms", sent.copiedAfter.Milliseconds(), "error", radishlog.ErrorText(err))
 	return d
 }
 
--- a/internal/radishrelay/exchange.go
+++ b/internal/radishrelay/exchange.go
@@ -39,6 +39,8 @@
 	attemptStartedAt time.Time
 	// isTrial is whether the call may be sent to one target only, since a part of its prompt is suspected to crash targets.
 	isTrial bool
+	// hasCopy is whether an attempt of the call was sent to two targets at the same time.
+	hasCopy bool
 	// attemptEvents is the number of events that the latest attempt has relayed.
 	attemptEvents int
 	// attemptFirstEventAt is when the latest attempt's first event arrived.
@@ -89,6 +91,7 @@
 		return refusal, false
 	}
 	e.relay.RetryBudget.RecordAttempt(e.service.Name, e.relay.RetryRatio())
+	e.relay.Hedger.RecordCall(e.service.Name, time.Now())
 	timeout := defaultTimeout
 	if e.call.Timeout > 0 {
 		timeout = max(e.call.Timeout/2, e.call.Timeout-refusalReserve)
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -16,6 +16,7 @@
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishengine"
 	"radishramp.example/radishramp/pkg/radishfleet"
+	"radishramp.example/radishramp/pkg/radishhedge"
 	"radishramp.example/radishramp/pkg/radishquarantine"
 	"radishramp.example/radishramp/pkg/radishroute"
 )
@@ -60,6 +61,8 @@
 	RetryBudget *radishtarget.RetryBudget
 	// RetryRatio returns the ratio of retries to calls that each service is allowed.
 	RetryRatio func() float64
+	// Hedger decides when copies of slow calls are sent; nil means that none are.
+	Hedger *radishhedge.Hedger
 	// Engines estimates the time that a call's engine takes after its stages have ended.
 	Engines *radishengine.Estimator
 	Metrics *radishmetric.Metrics
--- a/internal/radishrelay/timing.go
+++ b/internal/radishrelay/timing.go
@@ -7,6 +7,7 @@
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishengine"
 	"radishramp.example/radishramp/pkg/radishfleet"
+	"radishramp.example/radishramp/pkg/radishroute"
 )
 
 // recordResponse reports the time of an attempt with a plain response. A failure says nothing about the target's speed.
@@ -50,3 +51,19 @@
 		e.relay.Fleet.PromptRead(t.Name, e.call.InputTokens)
 	}
 }
+
+// recordCancelled reports the time that a target had taken when its attempt was cancelled in favour of a copy, as the time that it took.
+// Without it, the times of a slow target would be known only where it was fast.
+func (e *exchange) recordCancelled(l *leg) {
+	now := time.Now()
+	timing := radishfleet.Timing{
+		Kind: radishfleet.WorkCall, Class: e.route.Name, Took: now.Sub(l.startedAt), Units: 1, Pace: l.snapshot.Pace,
+		Waiting: max(0, l.snapshot.CallsInFlight-l.target.Slots),
+	}
+	if e.route.Kind == radishroute.KindStream {
+		timing.Kind, timing.Units = radishfleet.WorkPrompt, radishengine.ReferenceTime(e.call.InputTokens).Seconds()
+	}
+	if !l.isCopy {
+		e.relay.Fleet.RecordTiming(l.target.Name, timing, now)
+	}
+}
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -29,6 +29,7 @@
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishengine"
 	"radishramp.example/radishramp/pkg/radishfleet"
+	"radishramp.example/radishramp/pkg/radishhedge"
 	"radishramp.example/radishramp/pkg/radishmirror"
 	"radishramp.example/radishramp/pkg/radishpeer"
 	"radishramp.example/radishramp/pkg/radishquarantine"
@@ -70,7 +71,9 @@
 	NewCallerHandler CallerHandlerFactory
 	// MetricsAddress is the listen address as IP:PORT. If empty, no metrics are served.
 	MetricsAddress string
-	Log            hclog.Logger
+	// HedgeShare limits the copies of slow calls, as a share of the calls of a service; 0 means that none are sent.
+	HedgeShare float64
+	Log        hclog.Logger
 
 	mirror          radishmirror.Mirror
 	fleet           *radishfleet.Fleet
@@ -119,6 +122,9 @@
 		RetryRatio:  func() float64 { return s.currentSettings.Load().RetryBudgetRatio },
 		Engines:     &radishengine.Estimator{}, Quarantine: s.quarantine, OnEvidence: s.peers.shareReports, Metrics: s.metrics, Log: s.Log.Named("call"),
 	}
+	if s.HedgeShare > 0 {
+		s.relay.Hedger = &radishhedge.Hedger{Share: s.HedgeShare}
+	}
 	s.callerConns = &radishconn.Limiter{
 		Max: s.maxCallerConns, HeaderTimeout: s.headerTimeout, IdleTimeout: s.idleTimeout, Log: s.Log.Named("caller"),
 	}
