Contain panics of hedged sends

A panic while a hedged send reads its response happened outside the goroutine of the call and would have ended the process. It is passed on to the call, which ends as for any other panic; after the race it is logged.

--- a/internal/radishrelay/hedge_replay_test.go
+++ b/internal/radishrelay/hedge_replay_test.go
@@ -114,6 +114,13 @@
 		}
 		return 1
 	}
+	// The clock of a test begins at a full hour.
+	allSlowLater := func(_ string, _ *rand.Rand, now time.Time) float64 {
+		if now.Minute() > 0 {
+			return 10
+		}
+		return 1
+	}
 	usual := func(string, *rand.Rand, time.Time) float64 { return 1 }
 	tests := []struct {
 		name     string
@@ -126,6 +133,7 @@
 	}{
 		{"a few slow calls", 20 * time.Millisecond, 0, slowCalls, 0.5, replayShare},
 		{"slow periods", 20 * time.Millisecond, 0, slowPeriods, 0.45, replayShare},
+		{"all calls become slow", 20 * time.Millisecond, 0, allSlowLater, 1.05, replayShare},
 		// Five targets with four calls at a time serve one call in 3.75 ms.
 		{"overload", 3 * time.Millisecond, 4, usual, 1.05, 0.002},
 	}
--- a/internal/radishrelay/hedge_test.go
+++ b/internal/radishrelay/hedge_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -308,6 +309,43 @@
 	})
 }
 
+// TestPanicOfHedgedSendEndsItsCallOnly guards against a panic outside the goroutine of the call, where it would end the process.
+func TestPanicOfHedgedSendEndsItsCallOnly(t *testing.T) {
+	panics := func(context.Context, *radish.ForwardRequest) (*radish.TargetResponse, error) {
+		panic("malformed response")
+	}
+	for _, responders := range [][]responder{{panics}, {neverResponds, panics}} {
+		synctest.Test(t, func(t *testing.T) {
+			relay, _ := newHedgingRelay(&radishroute.Route{Kind: radishroute.KindIdempotent, MaxAttempts: 2}, responders...)
+			defer func() {
+				if cause := fmt.Sprint(recover()); !strings.Contains(cause, "malformed response") {
+					t.Errorf("panic %q in the goroutine of the call", cause)
+				}
+				synctest.Wait()
+			}()
+			handle(t.Context(), relay, newCall())
+		})
+	}
+}
+
+// TestCopyReadsSameInputs guards against copies without the results of the call's stages, and results that are not released or twice.
+func TestCopyReadsSameInputs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		relay, forwarder := newHedgingRelay(routeWithStages(), neverResponds, streamsEvents(2, false))
+		call := newCall()
+		call.Pieces = []int{1, 2}
+		w := handle(t.Context(), relay, call)
+		synctest.Wait()
+		if len(forwarder.sends) != 2 || w.status != http.StatusOK || !slices.Equal(forwarder.sends[0].Inputs, forwarder.sends[1].Inputs) {
+			t.Fatalf("%d sends, status %d", len(forwarder.sends), w.status)
+		}
+		stages := relay.Stages.(*fakeStages)
+		if freed := len(stages.freed); len(forwarder.sends[1].Inputs) != 2 || len(stages.plans) != 1 || freed != 1 {
+			t.Errorf("inputs %v, %d plans, released %d times", forwarder.sends[1].Inputs, len(stages.plans), freed)
+		}
+	})
+}
+
 // TestCopiesCountAsExecutions guards against a copy on top of the route's attempts: of three, one is left when both legs have failed.
 func TestCopiesCountAsExecutions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/radishrelay/race.go
+++ b/internal/radishrelay/race.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"radishramp.example/radishramp/pkg/radish"
@@ -56,9 +58,12 @@
 	first, copy *leg
 }
 
+// legEnd is the message that a leg has ended.
 type legEnd struct {
 	leg *leg
 	legResult
+	// panicked describes the panic that ended the leg, "" if there was none.
+	panicked string
 }
 
 // send sends the attempt, and a copy of it if that is allowed and the response takes long. It returns the send whose response is relayed.
@@ -81,19 +86,38 @@
 func (r *race) start(ctx context.Context, l *leg) {
 	ctx, l.cancel = context.WithCancel(ctx)
 	go func() {
-		end := legEnd{leg: l}
-		end.resp, end.err = r.e.relay.Forwarder.Forward(ctx, l.req)
-		if end.err == nil {
-			end.readErr = awaitUsable(end.resp)
-		}
+		end := r.run(ctx, l)
 		select {
 		case r.results <- end:
 		case <-r.over:
-			if end.err == nil {
-				_ = end.resp.Body.Close()
-			}
+			r.discard(end)
+		}
+	}()
+}
+
+// run sends the call and waits until the response is usable. A panic is reported, since it would end the process here.
+func (r *race) run(ctx context.Context, l *leg) (end legEnd) {
+	end.leg = l
+	defer func() {
+		if cause := recover(); cause != nil {
+			end.panicked = fmt.Sprintf("%v\n%s", cause, debug.Stack())
 		}
 	}()
+	end.resp, end.err = r.e.relay.Forwarder.Forward(ctx, l.req)
+	if end.err == nil {
+		end.readErr = awaitUsable(end.resp)
+	}
+	return end
+}
+
+// discard ends a leg after the race was decided.
+func (r *race) discard(end legEnd) {
+	if end.panicked != "" {
+		r.e.relay.Log.Error("hedged attempt panicked", "id", r.e.call.ID, "target", end.leg.target.Name, "panic", end.panicked)
+	}
+	if end.resp != nil {
+		_ = end.resp.Body.Close()
+	}
 }
 
 // decide waits for a usable response, or for the end of all legs.
@@ -103,6 +127,9 @@
 	for {
 		select {
 		case end := <-r.results:
+			if end.panicked != "" {
+				panic(end.panicked)
+			}
 			end.leg.hasEnded, end.leg.legResult = true, end.legResult
 			if chosen := r.choose(ctx, end.leg); chosen != nil {
 				return chosen
