Test executions and times of hedged calls

Removing a condition of hedging one at a time showed which ones no test noticed: events already relayed, the attempts left, one copy for each call, the cancelled send as an execution, the copy's own time. Each has a test that fails without it.

--- a/internal/radishrelay/hedge_test.go
+++ b/internal/radishrelay/hedge_test.go
@@ -346,18 +346,60 @@
 	})
 }
 
-// TestCopiesCountAsExecutions guards against a copy on top of the route's attempts: of three, one is left when both legs have failed.
+// TestCopiesCountAsExecutions guards against copies on top of the route's attempts, against a second copy of a call, and against copies once the
+// caller has received events.
 func TestCopiesCountAsExecutions(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		fails := after(150*time.Millisecond, failsWith(errReset))
-		relay, forwarder := newHedgingRelay(&radishroute.Route{Kind: radishroute.KindIdempotent, MaxAttempts: 3}, fails)
-		handle(t.Context(), relay, newCall())
-		targets := make(map[string]bool)
-		for _, req := range forwarder.sends {
-			targets[req.Target.Name] = true
-		}
-		if len(forwarder.sends) != 3 || len(targets) != 3 {
-			t.Errorf("%d sends to %d targets", len(forwarder.sends), len(targets))
-		}
-	})
+	fails := after(150*time.Millisecond, failsWith(errReset))
+	slow := after(400*time.Millisecond, respondsWith(200, "ok"))
+	tests := []struct {
+		name        string
+		kind        radishroute.Kind
+		maxAttempts int
+		responders  []responder
+		wantSends   int
+		wantAborted bool
+	}{
+		{"one attempt left after two sends failed", radishroute.KindIdempotent, 3, []responder{fails}, 3, false},
+		{"one attempt left after a failure", radishroute.KindIdempotent, 2, []responder{failsWith(errReset), slow}, 2, false},
+		{"attempts left after two sends failed", radishroute.KindIdempotent, 5, []responder{fails, fails, slow}, 3, false},
+		{"copy of a stream breaks off", radishroute.KindStream, 2, []responder{neverResponds, streamsEvents(1, true)}, 2, true},
+		{"stream is resumed slowly", radishroute.KindStream, 4, []responder{streamsEvents(1, true), after(400*time.Millisecond, streamsEvents(2, false))}, 2, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				relay, forwarder := newHedgingRelay(&radishroute.Route{Kind: test.kind, IsResumable: true, MaxAttempts: test.maxAttempts}, test.responders...)
+				w := handle(t.Context(), relay, newCall())
+				targets := make(map[string]bool)
+				for _, req := range forwarder.sends {
+					targets[req.Target.Name] = true
+				}
+				if len(forwarder.sends) != test.wantSends || len(targets) != test.wantSends || w.aborted != test.wantAborted {
+					t.Errorf("%d sends to %d targets, want %d; aborted %t", len(forwarder.sends), len(targets), test.wantSends, w.aborted)
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestTimeOfCopyIsItsOwn guards against learned times of a copy that contain the delay after which it was sent.
+func TestTimeOfCopyIsItsOwn(t *testing.T) {
+	const learnedCalls = 8
+	learned := func(responders ...responder) (estimate time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			relay, _ := newHedgingRelay(&radishroute.Route{Kind: radishroute.KindStream, IsResumable: true, MaxAttempts: 2}, responders...)
+			for range learnedCalls {
+				handle(t.Context(), relay, newCall())
+			}
+			estimate = relay.Engines.Estimate("s", 0)
+			synctest.Wait()
+		})
+		return estimate
+	}
+	answer := after(40*time.Millisecond, streamsEvents(2, false))
+	hedged := slices.Repeat([]responder{neverResponds, answer}, learnedCalls)
+	if got, want := learned(hedged...), learned(answer); got != want {
+		t.Errorf("time %v with a copy, %v without", got, want)
+	}
 }
