--- a/internal/radishrelay/hedge_test.go
+++ b/internal/radishrelay/hedge_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"radishramp.example/radishramp/internal/radishmetric"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishhedge"
@@ -403,3 +405,34 @@
 		t.Errorf("time %v with a copy, %v without", got, want)
 	}
 }
+
+// TestCopiesAreCounted guards against operators who cannot see what copies do: two are sent, one of them responds first, one is denied.
+func TestCopiesAreCounted(t *testing.T) {
+	metrics, err := radishmetric.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		copied := after(20*time.Millisecond, respondsWith(200, "copy"))
+		slow := after(150*time.Millisecond, respondsWith(200, "first"))
+		relay, _ := newHedgingRelay(&radishroute.Route{Kind: radishroute.KindIdempotent, MaxAttempts: 2}, neverResponds, copied, slow, neverResponds, slow)
+		relay.Metrics = metrics
+		handle(t.Context(), relay, newCall())
+		handle(t.Context(), relay, newCall())
+		relay.Hedger.Share = 0
+		for relay.Hedger.Take("s", time.Now()) {
+		}
+		handle(t.Context(), relay, newCall())
+		synctest.Wait()
+	})
+	res := httptest.NewRecorder()
+	metrics.Handler().ServeHTTP(res, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, want := range []string{
+		`radishramp_hedges_total{result="sent",service="s"} 2`, `radishramp_hedges_total{result="answered_first",service="s"} 1`,
+		`radishramp_hedges_total{result="denied_share",service="s"} 1`, `radishramp_attempts_total{result="cancelled",service="s"} 2`,
+	} {
+		if !strings.Contains(res.Body.String(), want) {
+			t.Errorf("metrics do not contain %q", want)
+		}
+	}
+}
