--- a/internal/radishmetric/metric.go
+++ b/internal/radishmetric/metric.go
@@ -24,6 +24,7 @@
 	attempts       metric.Int64Counter
 	cutAttempts    metric.Int64Counter
 	retries        metric.Int64Counter
+	hedges         metric.Int64Counter
 	permits        metric.Int64Counter
 	plans          metric.Int64Counter
 	callSeconds    metric.Float64Histogram
@@ -52,7 +53,7 @@
 }
 
 func (m *Metrics) createInstruments() error {
-	var errs [11]error
+	var errs [12]error
 	m.requests, errs[0] = m.meter.Int64Counter("radishramp_requests", metric.WithDescription("Requests by pipeline and outcome."))
 	m.requestSeconds, errs[1] = m.meter.Float64Histogram("radishramp_request_seconds",
 		metric.WithDescription("Time from a request's arrival to the end of its answer."),
@@ -71,6 +72,7 @@
 		metric.WithDescription("Calls sent to targets, each piece of a stage as one, by service and version."))
 	m.versionErrors, errs[10] = m.meter.Int64Counter("radishramp_version_failures",
 		metric.WithDescription("Responses that count as failures of the version, by service and version."))
+	m.hedges, errs[11] = m.meter.Int64Counter("radishramp_hedges", metric.WithDescription("Copies of slow calls by service and result: sent, answered first, or why denied."))
 	return trace.NewAggregate(errs[:]...)
 }
 
@@ -92,6 +94,7 @@
 		"attempt": {"service", "result"},
 		"cut":     {"service", "target"},
 		"retry":   {"service", ""},
+		"hedge":   {"service", "result"},
 		"permit":  {"result", ""},
 		"plan":    {"outcome", "priority"},
 		"call":    {"service", "result"},
@@ -145,6 +148,13 @@
 	}
 }
 
+// RecordHedge records that a copy of a call was sent, that it responded first, or that it was denied.
+func (m *Metrics) RecordHedge(service, result string) {
+	if m != nil {
+		m.hedges.Add(context.Background(), 1, m.attributeOption("hedge", service, result))
+	}
+}
+
 // RecordPermitRequest records a request for a permit to use a cold target.
 func (m *Metrics) RecordPermitRequest(granted bool) {
 	if m == nil {
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -236,6 +236,8 @@
 	PromptTokens int
 	// HasColdLimit is whether cold targets of the service are limited to ColdQuota.
 	HasColdLimit bool
+	// IsCopy is whether the call is at another target already, so that cold, ejected and unreachable targets are no help.
+	IsCopy bool
 
 	versions *versionFilter
 }
@@ -265,10 +267,11 @@
 			return s
 		}
 	}
-	if s := f.pickBest(q, f.warmTargets(q, now), now); s != nil {
-		return s
+	s := f.pickBest(q, f.warmTargets(q, now), now)
+	if s == nil && !q.IsCopy {
+		s = f.pickCold(q, now)
 	}
-	return f.pickCold(q, now)
+	return s
 }
 
 // warmTargets returns the targets that may take the call. It falls back to ejected and unreachable ones if there are
@@ -277,14 +280,14 @@
 	var warm, ejected []*targetState
 	for _, s := range f.byService[q.Service] {
 		switch {
-		case !f.isUsable(s, q.versions, now), q.Exclude[s.target.Name], q.HasColdLimit && now.Before(s.coldUntil):
+		case !f.isUsable(s, q.versions, now), q.Exclude[s.target.Name], (q.HasColdLimit || q.IsCopy) && now.Before(s.coldUntil):
 		case f.isExcluded(s, now):
 			ejected = append(ejected, s)
 		default:
 			warm = append(warm, s)
 		}
 	}
-	if len(warm) == 0 {
+	if len(warm) == 0 && !q.IsCopy {
 		return ejected
 	}
 	return warm
