--- a/pkg/radishfleet/engine_load.go
+++ b/pkg/radishfleet/engine_load.go
@@ -82,13 +82,13 @@
 
 // reported returns the load by the latest report and the calls that this VM has sent since.
 func (l *engineLoads) reported(s *targetState) float64 {
-	calls := max(s.inFlight, s.heard.load.Running+s.heard.load.Waiting+s.heard.sentSince)
+	calls := max(s.inFlight, s.latest.load.Running+s.latest.load.Waiting+s.latest.sentSince)
 	return s.relativeSlowness() * s.paceAt(l.now) * (1 + float64(calls) + l.fleet.promptWork(s))
 }
 
 // isKnown reports whether the engine reported its load a short time ago. Streams take seconds, so the number of calls changes slowly.
 func (l *engineLoads) isKnown(s *targetState) bool {
-	return s.heard.load.Reported && l.now.Sub(s.heard.at) < loadReportTTL
+	return s.latest.load.Reported && l.now.Sub(s.latest.at) < loadReportTTL
 }
 
 // of returns the expected load. What is not known of it is taken to be as at the mean of the engines.
--- a/pkg/radishfleet/expectation.go
+++ b/pkg/radishfleet/expectation.go
@@ -21,17 +21,17 @@
 	maxReportedCost = 8
 )
 
-// heardReport is the latest report of a target's load, whatever kind of response it came with.
-type heardReport struct {
+// latestReport is the latest report of a target's load, whatever kind of response it came with.
+type latestReport struct {
 	load radish.TargetLoad
 	at   time.Time
 	// sentSince is the number of calls that this VM has sent to the target since.
 	sentSince int
 }
 
-// hear records a report and that the targets of the service are uneven if it contains the momentary figure.
-func (f *Fleet) hear(s *targetState, load radish.TargetLoad, now time.Time) {
-	s.heard = heardReport{load: load, at: now}
+// recordReport records a report and that the targets of the service are uneven if it contains the momentary figure.
+func (f *Fleet) recordReport(s *targetState, load radish.TargetLoad, now time.Time) {
+	s.latest = latestReport{load: load, at: now}
 	if load.Pace == 0 && f.speeds[s.target.Service] == nil {
 		return
 	}
@@ -44,7 +44,7 @@
 }
 
 // weight returns how much the report is trusted, from 1 to 0.
-func (r *heardReport) weight(now time.Time) float64 {
+func (r *latestReport) weight(now time.Time) float64 {
 	age := now.Sub(r.at)
 	if !r.load.Reported || age >= reportTrust {
 		return 0
@@ -55,11 +55,11 @@
 // paceAt returns the momentary figure drawn towards the usual one by the report's age.
 func (s *targetState) paceAt(now time.Time) float64 {
 	usual := plausiblePace(s.usualPace)
-	return usual + s.heard.weight(now)*(s.heard.pace()-usual)
+	return usual + s.latest.weight(now)*(s.latest.pace()-usual)
 }
 
 // pace returns the momentary figure, 1 if the target reported none.
-func (r *heardReport) pace() float64 { return plausiblePace(r.load.Pace) }
+func (r *latestReport) pace() float64 { return plausiblePace(r.load.Pace) }
 
 // plausiblePace returns the momentary figure within the range in which it is believed, 1 if there is none.
 func plausiblePace(pace float64) float64 {
@@ -76,8 +76,8 @@
 
 // reportedCost returns the expected time of a call at the target by its latest report, in times of an average call.
 func (s *targetState) reportedCost() float64 {
-	calls := max(s.inFlight, s.heard.load.Running+s.heard.load.Waiting+s.heard.sentSince)
-	return s.relativeSlowness() * s.heard.pace() * (1 + s.queueShare(calls))
+	calls := max(s.inFlight, s.latest.load.Running+s.latest.load.Waiting+s.latest.sentSince)
+	return s.relativeSlowness() * s.latest.pace() * (1 + s.queueShare(calls))
 }
 
 // expectedCost returns the expected time of a call at the target. What is not known of its load is taken to be as at the mean of
@@ -85,7 +85,7 @@
 func (s *targetState) expectedCost(meanCost float64, now time.Time) float64 {
 	slowness := s.relativeSlowness()
 	unknown := max(slowness, meanCost) + slowness*s.queueShare(s.inFlight)
-	weight := s.heard.weight(now)
+	weight := s.latest.weight(now)
 	if weight == 0 {
 		return unknown
 	}
@@ -157,8 +157,8 @@
 // addExpectation adds what the choice by expected time is based on.
 func (f *Fleet) addExpectation(snapshot *TargetSnapshot, s *targetState, now time.Time) {
 	snapshot.Slowness, snapshot.UnreadTokens = s.relativeSlowness(), s.promptTokens
-	if s.heard.load.Pace > 0 {
-		snapshot.Pace, snapshot.PaceAge = s.heard.load.Pace, now.Sub(s.heard.at)
+	if s.latest.load.Pace > 0 {
+		snapshot.Pace, snapshot.PaceAge = s.latest.load.Pace, now.Sub(s.latest.at)
 	}
 	if f.isUneven(s.target.Service, now) {
 		snapshot.IsUneven, snapshot.ExpectedCost = true, s.expectedCost(f.speedsOf(s.target.Service).meanCost, now)
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -76,7 +76,7 @@
 	sentAfterPause int
 	ejectionPeriod time.Duration
 	ejectedUntil   time.Time
-	heard          heardReport
+	latest         latestReport
 	// usualPace is the least pace that the target reported to any VM; 0 means that none is known.
 	usualPace float64
 	// speeds are the observed times by kind of work, relative to those of the service; slowness is the time of work relative to the
--- a/pkg/radishfleet/notice.go
+++ b/pkg/radishfleet/notice.go
@@ -21,7 +21,7 @@
 	isNew := n.IsLeaving && f.recordLeaving(LeavingTarget{Name: t.Name, StartedUnixMilli: t.StartedUnixMilli, At: now}, now)
 	s := f.targets[t.Name]
 	if n.Load.Reported && s != nil && s.target.StartedUnixMilli == t.StartedUnixMilli {
-		f.hear(s, n.Load, now)
+		f.recordReport(s, n.Load, now)
 	}
 	if n.Pause > 0 && s != nil && s.target.StartedUnixMilli == t.StartedUnixMilli && s.pause(now.Add(n.Pause)) {
 		isNew = true
--- a/pkg/radishfleet/outcome.go
+++ b/pkg/radishfleet/outcome.go
@@ -62,7 +62,7 @@
 	waiting := 2 * max(1, s.target.Slots)
 	if !s.reportedLoad.Reported || s.reportedAt != now {
 		s.reportedLoad, s.reportedAt = radish.TargetLoad{Running: s.target.Slots, Waiting: waiting, Slots: s.target.Slots, Reported: true}, now
-		s.heard = heardReport{load: s.reportedLoad, at: now}
+		s.latest = latestReport{load: s.reportedLoad, at: now}
 	}
 }
 
--- a/pkg/radishfleet/pause.go
+++ b/pkg/radishfleet/pause.go
@@ -36,7 +36,7 @@
 // recordSend counts a call to the target.
 func (s *targetState) recordSend() {
 	s.inFlight++
-	s.heard.sentSince++
+	s.latest.sentSince++
 	s.sentAfterPause++
 }
 
--- a/pkg/radishfleet/speed.go
+++ b/pkg/radishfleet/speed.go
@@ -132,8 +132,8 @@
 		return
 	}
 	t := Timing{Kind: WorkBatch, Took: took, Units: expected.Seconds()}
-	if s.heard.weight(now) > 0 {
-		t.Pace = s.heard.load.Pace
+	if s.latest.weight(now) > 0 {
+		t.Pace = s.latest.load.Pace
 	}
 	f.recordTiming(s, t, now)
 }
--- a/pkg/radishrollout/progress.go
+++ b/pkg/radishrollout/progress.go
@@ -22,8 +22,8 @@
 	// marginShare of the duration, at least minMargin, remains when the last state is decided, for writing it.
 	marginShare = 0.08
 	minMargin   = time.Second
-	// heardTTL is how long a peer's report counts. Peers report every 500 ms.
-	heardTTL = 1500 * time.Millisecond
+	// reportTTL is how long a peer's report counts. Peers report every 500 ms.
+	reportTTL = 1500 * time.Millisecond
 	// minResponses is the number of the candidate's responses without which it is not served.
 	minResponses = 30
 )
@@ -70,7 +70,7 @@
 			r.verdict = "a peer found the version bad"
 		case rec.suspect != "" && r.suspect.target == "":
 			r.startSuspecting(rec.suspect, now)
-		case rec.phase == PhaseDraining && now.Sub(rec.heardAt) < heardTTL && r.mayDrain():
+		case rec.phase == PhaseDraining && now.Sub(rec.reportedAt) < reportTTL && r.mayDrain():
 			r.startDraining(now)
 		}
 	}
@@ -148,7 +148,7 @@
 	case r.NoTargets:
 		return "the service has no target of the version"
 	case !r.hasQuorum(now):
-		return "too few other VMs are heard"
+		return "too few other VMs report"
 	case r.isTryingOthers():
 		return "a target of the version is suspected"
 	case r.isInDoubt():
@@ -175,39 +175,39 @@
 	return calls, responses
 }
 
-// hasQuorum reports whether this VM and those that it has heard of lately are at least half of all. A VM that is cut off must not
+// hasQuorum reports whether this VM and those that reported lately are at least half of all. A VM that is cut off must not
 // send to the candidate, since it would not learn that the others reverted the order.
 func (r *Rollout) hasQuorum(now time.Time) bool {
 	needed := (r.VMs+1)/2 - 1 // besides this one
 	switch {
 	case needed <= 0:
 		return true
-	case needed > len(r.heardAts):
+	case needed > len(r.reportTimes):
 		return false
 	}
-	return now.Sub(r.heardAts[needed-1]) < heardTTL
+	return now.Sub(r.reportTimes[needed-1]) < reportTTL
 }
 
-// updateHeard determines when each other VM was last heard of, the latest first.
-func (r *Rollout) updateHeard() {
-	heardAt := make(map[string]time.Time)
+// updateReportTimes determines when each other VM last reported, the latest first.
+func (r *Rollout) updateReportTimes() {
+	reportedAt := make(map[string]time.Time)
 	for source, rec := range r.sources {
-		if source.VM != r.Self.VM && rec.heardAt.After(heardAt[source.VM]) {
-			heardAt[source.VM] = rec.heardAt
+		if source.VM != r.Self.VM && rec.reportedAt.After(reportedAt[source.VM]) {
+			reportedAt[source.VM] = rec.reportedAt
 		}
 	}
-	r.heardAts = slices.SortedFunc(maps.Values(heardAt), func(a, b time.Time) int { return b.Compare(a) })
+	r.reportTimes = slices.SortedFunc(maps.Values(reportedAt), func(a, b time.Time) int { return b.Compare(a) })
 }
 
-// isDrained reports whether all VMs that are heard of are draining and have no calls in flight at old targets. All traffic is
+// isDrained reports whether all VMs that report are draining and have no calls in flight at old targets. All traffic is
 // observed for one step in any case, while it can still return to the old targets.
 func (r *Rollout) isDrained(now time.Time) bool {
 	if now.Sub(r.drainingAt) < max(minStep, r.part(stepShare)) || r.self().oldInFlight > 0 || !r.hasQuorum(now) {
 		return false
 	}
 	for source, rec := range r.sources {
-		isHeard := source != r.Self && now.Sub(rec.heardAt) < heardTTL
-		if isHeard && (rec.phase.rank() < PhaseDraining.rank() || rec.oldInFlight > 0) {
+		isReporting := source != r.Self && now.Sub(rec.reportedAt) < reportTTL
+		if isReporting && (rec.phase.rank() < PhaseDraining.rank() || rec.oldInFlight > 0) {
 			return false
 		}
 	}
--- a/pkg/radishrollout/record.go
+++ b/pkg/radishrollout/record.go
@@ -14,8 +14,8 @@
 	oldInFlight int
 	suspect     string
 	routes      map[string]*RouteEvidence
-	// heardAt is when the source's age last grew, as seen here.
-	heardAt time.Time
+	// reportedAt is when the source's age last grew, as seen here.
+	reportedAt time.Time
 }
 
 // isValid reports whether the evidence is within the limits.
@@ -52,7 +52,7 @@
 func (rec *record) mergeState(e *Evidence, now time.Time) bool {
 	changed := e.Age > rec.age
 	if changed {
-		rec.heardAt = now
+		rec.reportedAt = now
 	}
 	if changed || e.Age == rec.age && e.OldInFlight > rec.oldInFlight {
 		rec.age, rec.oldInFlight = e.Age, e.OldInFlight
--- a/pkg/radishrollout/rollout.go
+++ b/pkg/radishrollout/rollout.go
@@ -28,8 +28,8 @@
 	budget  budget
 	// maxVMs is the largest number of VMs so far.
 	maxVMs int
-	// heardAts are the times at which the other VMs were last heard of, the latest first.
-	heardAts []time.Time
+	// reportTimes are the times at which the other VMs last reported, the latest first.
+	reportTimes []time.Time
 
 	// totals are the counts of all sources when they were last compared, at comparedAt.
 	totals     map[string]*RouteEvidence
@@ -173,7 +173,7 @@
 		changed = r.source(e[i].Source).merge(&e[i], now) || changed
 	}
 	r.dropExcess()
-	r.updateHeard()
+	r.updateReportTimes()
 	r.adoptPeers(now)
 	r.advance(now)
 	return changed
