Admit urgent plans behind a short queue of their own classes

Cause: plans of the highest priority that would be a little late were refused while less urgent work waited: the condition that admits late plans behind a short queue counted work that gives way. Change: the condition is applied to the work of the plan's own classes too.

--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -50,8 +50,7 @@
 	}
 	delaysOthers := radishbatch.DelaysOthers(behindAll, needs)
 	unloaded, _ := radishbatch.EstimateDuration(radishbatch.Unloaded(behindAll), needs)
-	isQueueShort := expected-unloaded <= lateAdmissionMaxWait && expected < p.Deadline.Sub(now)
-	if !delaysOthers && (p.isInTime(expected, now) || isQueueShort) {
+	if !delaysOthers && (p.isInTime(expected, now) || p.isQueueShort(expected, unloaded, now)) {
 		return admission{class: class, expected: expected}, nil
 	}
 	if a, ok := c.decideByClass(p, class, kinds, needs, now); ok {
@@ -90,12 +89,21 @@
 	return admission{class: class, expected: expected, needsRoom: true}, ok
 }
 
-// fitsBefore reports whether the plan is in time, and makes no other late, if it waits only for work of the classes up to its own.
+// fitsBefore reports whether the plan is in time, or its queue short, and whether it makes no other late, if it waits only for work of the
+// classes up to its own. The condition is that of plans without a priority: work that gives way to the plan must not keep it out.
 func (c *Coordinator) fitsBefore(p *Plan, class int, needs []radishbatch.StageWork, now time.Time) (expected time.Duration, ok bool) {
 	backlogs := c.serviceBacklogs(p, radishbatch.FirstClass, class, now)
 	expected, _ = radishbatch.EstimateDuration(backlogs, needs)
 	expected = max(expected, c.besideArrivals(p, class, class, needs, now))
-	return expected, p.isInTime(expected, now) && !radishbatch.DelaysOthers(backlogs, needs)
+	unloaded, _ := radishbatch.EstimateDuration(radishbatch.Unloaded(backlogs), needs)
+	isAdmissible := p.isInTime(expected, now) || p.isQueueShort(expected, unloaded, now)
+	return expected, isAdmissible && !radishbatch.DelaysOthers(backlogs, needs)
+}
+
+// isQueueShort reports whether the plan waits so little that it may be late: it takes the expected time, and the unloaded time if nothing
+// is queued.
+func (p *Plan) isQueueShort(expected, unloaded time.Duration, now time.Time) bool {
+	return expected-unloaded <= lateAdmissionMaxWait && expected < p.Deadline.Sub(now)
 }
 
 // besideArrivals returns the estimated time of a plan that may be held if the plans of earlier classes take the capacity that they are expected
--- a/internal/radishstage/priority_test.go
+++ b/internal/radishstage/priority_test.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// TestReplayUrgentPlansAreAdmittedBehindShortQueue guards against urgent plans that are refused for less urgent work that gives way to them:
+// plans that will be a little late are admitted while their own queue is short, also if less urgent work fills the queues.
+func TestReplayUrgentPlansAreAdmittedBehindShortQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newCoordinator(2)
+		tallies := replay(t, c, []callKind{
+			{name: "low", perSecond: 30, until: 12 * time.Second, due: 4 * time.Second, stages: chain(6), urgency: urgency(2)},
+			{name: "urgent", perSecond: 2, from: 3 * time.Second, until: 12 * time.Second, due: 800 * time.Millisecond, stages: chain(1), urgency: urgency(0)},
+		})
+		time.Sleep(10 * time.Second)
+		if urgent := tallies["urgent"]; urgent.refused > urgent.asked/4 {
+			t.Errorf("%d of %d urgent plans were refused", urgent.refused, urgent.asked)
+		}
+	})
+}
+
 // TestPlansGiveWayBeforeTheirPiecesRan checks that only plans of which no piece was part of a call give way, and that they are refused as
 // not run.
 func TestPlansGiveWayBeforeTheirPiecesRan(t *testing.T) {
