pkg: document unexported identifiers and use plain terms

A reader new to the packages met the term "momentary figure" for what the fields call pace, names such as forget and reportTrust, and functions without a doc comment.

The comment of BuildIndex names StageRank too.

Behaviour does not change.

--- a/pkg/radishadmission/average.go
+++ b/pkg/radishadmission/average.go
@@ -9,8 +9,8 @@
 	// averageTime is the time constant of moving averages. It is longer than a queue, so that a burst of one kind is seen while the
 	// plans wait that it competes with, and short enough that a new coordinator knows the load within seconds.
 	averageTime = 3 * time.Second
-	// forgetAfter is the time after which an average without a record is dropped.
-	forgetAfter = 10 * averageTime
+	// idleTTL is the time after which an average without a record is dropped.
+	idleTTL = 10 * averageTime
 )
 
 // average is a moving average of a rate per second. The zero value is 0.
--- a/pkg/radishadmission/floor.go
+++ b/pkg/radishadmission/floor.go
@@ -19,11 +19,13 @@
 // Floors records how much of each service's capacity the kinds of plans got. The load that it addresses: so much urgent work that a kind gets
 // nothing for as long as it lasts. The zero value is empty.
 type Floors struct {
+	// got is the moving average of the pieces per second that each kind got.
 	got map[floorKey]*average
 	// askedAt is when a plan of the kind last asked for capacity, by dimension and value.
 	askedAt map[string]map[string]time.Time
 }
 
+// floorKey identifies a kind of plans at a service.
 type floorKey struct {
 	service string
 	kind    Kind
@@ -56,7 +58,7 @@
 		got := f.got[key]
 		if got == nil {
 			if len(f.got) >= maxFloorKeys {
-				f.forget(now)
+				f.evict(now)
 			}
 			got = &average{}
 			f.got[key] = got
@@ -84,10 +86,10 @@
 	return min(FloorShare, maxFloors/float64(max(1, asking)))
 }
 
-// forget drops the records of kinds that got nothing for long, or else all.
-func (f *Floors) forget(now time.Time) {
+// evict drops the records of kinds that got nothing within idleTTL, or all records if that does not free space.
+func (f *Floors) evict(now time.Time) {
 	for key, got := range f.got {
-		if now.Sub(got.at) > forgetAfter {
+		if now.Sub(got.at) > idleTTL {
 			delete(f.got, key)
 		}
 	}
--- a/pkg/radishadmission/share.go
+++ b/pkg/radishadmission/share.go
@@ -22,6 +22,7 @@
 type teamUse struct {
 	// seconds is the time of targets that the team got.
 	seconds average
+	// askedAt is when a plan of the team last asked for capacity.
 	askedAt time.Time
 }
 
@@ -62,12 +63,13 @@
 	return u
 }
 
+// use returns the record of the team, or the common one if there are too many teams. It creates the record if there is none.
 func (s *Shares) use(team string, now time.Time) *teamUse {
 	if s.teams == nil {
 		s.teams = make(map[string]*teamUse)
 	}
 	if s.teams[team] == nil && len(s.teams) >= maxTeams {
-		s.forget(now)
+		s.evict(now)
 	}
 	if s.teams[team] == nil && len(s.teams) >= maxTeams {
 		team = otherTeams
@@ -80,10 +82,10 @@
 	return use
 }
 
-// forget drops the teams that have not asked for long.
-func (s *Shares) forget(now time.Time) {
+// evict drops the teams that have not asked within idleTTL.
+func (s *Shares) evict(now time.Time) {
 	for team, use := range s.teams {
-		if now.Sub(use.askedAt) > forgetAfter {
+		if now.Sub(use.askedAt) > idleTTL {
 			delete(s.teams, team)
 		}
 	}
--- a/pkg/radishbatch/backlog.go
+++ b/pkg/radishbatch/backlog.go
@@ -72,7 +72,7 @@
 	return idle
 }
 
-// never is longer than any call waits.
+// never is the processing time at a service that processes nothing; no call waits so long.
 const never = time.Hour
 
 // processingTime returns how long the targets together take to process the pieces.
@@ -101,6 +101,7 @@
 	return time.Duration(max(0, missing) / b.BytesPerSecond * float64(time.Second))
 }
 
+// meanResultBytes returns the mean size of the results of the pieces in the demand.
 func (b *Backlog) meanResultBytes() float64 {
 	return float64(b.ResultBytes) / float64(max(1, b.Demand.Total()))
 }
@@ -147,8 +148,8 @@
 	return false
 }
 
-// Excess returns how many pieces too many there are for all to be in time once the stage's pieces are added, but no more than are displaced by
-// these, and the time from now by which the pieces are due of which some must give way.
+// Excess returns how many pieces cannot be in time once the stage's pieces are added, at most as many as these displace, and the time from now
+// by which the pieces are due of which that many must be dropped.
 func (b *Backlog) Excess(stage StageWork) (excess int, dueBy time.Duration) {
 	ahead, added := 0, int64(stage.Pieces)*stage.ResultBytes
 	first, mean := bucketOf(stage.DueIn), b.meanResultBytes()
--- a/pkg/radishbatch/speed.go
+++ b/pkg/radishbatch/speed.go
@@ -19,7 +19,7 @@
 }
 
 // ReservedPieces returns the number of queued pieces that faster targets, which are still busy, would complete earlier than an idle
-// target with the batch limits and the time factor. The last pieces of a call must not wait for the slowest target.
+// target with the batch limits and the time factor. Without it, a call would end only when the slowest target has processed its last pieces.
 func ReservedPieces(busy []BusyTarget, spec *BatchSpec, timeFactor float64, queued int) int {
 	pieces := min(spec.MaxPieces, spec.shareOf(queued))
 	end := float64(spec.Overhead) + float64(pieces)*float64(spec.PieceTime)
--- a/pkg/radishfleet/availability.go
+++ b/pkg/radishfleet/availability.go
@@ -11,7 +11,7 @@
 	return v.allows(s) && f.isInService(s) && !s.isPaused(now)
 }
 
-// isInService reports whether the target is there to stay and its data centre is not evacuated.
+// isInService reports whether the target is not leaving, its data centre is not evacuated, and no later target has its address.
 func (f *Fleet) isInService(s *targetState) bool {
 	return f.isStaying(s) && !f.evacuated[s.target.DataCentre] && !f.isSuperseded(s)
 }
--- a/pkg/radishfleet/expectation.go
+++ b/pkg/radishfleet/expectation.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// reportTrust is the age up to which a report counts; its weight falls to nothing over that time. A machine is slow for some
+	// maxReportAge is the age up to which a report counts; its weight falls linearly from 1 to 0 over that time. A machine is slow for some
 	// hundred milliseconds at a time, and other VMs send calls meanwhile.
-	reportTrust = 500 * time.Millisecond
+	maxReportAge = 500 * time.Millisecond
 	// randomChoices is the number of random targets of which the best is chosen. Many VMs read the same report: if each chose the
 	// best of all, all would choose the same target.
 	randomChoices = 3
-	// minPace and maxPace bound the momentary figures that are believed.
+	// minPace and maxPace bound the reported paces; values outside are clamped.
 	minPace = 0.5
 	maxPace = 8
 	// maxReportedCost limits what one target's report adds to the mean expected time, so that a false one has little effect.
@@ -29,7 +29,7 @@
 	sentSince int
 }
 
-// recordReport records a report and that the targets of the service are uneven if it contains the momentary figure.
+// recordReport records a report. If it contains a pace, the targets of the service count as uneven.
 func (f *Fleet) recordReport(s *targetState, load radish.TargetLoad, now time.Time) {
 	s.latest = latestReport{load: load, at: now}
 	if load.Pace == 0 && f.speeds[s.target.Service] == nil {
@@ -43,25 +43,25 @@
 	v.meanCost += costSampleWeight * (min(maxReportedCost, s.reportedCost()) - v.meanCost)
 }
 
-// weight returns how much the report is trusted, from 1 to 0.
+// weight returns the weight of the report by its age, from 1 to 0.
 func (r *latestReport) weight(now time.Time) float64 {
 	age := now.Sub(r.at)
-	if !r.load.Reported || age >= reportTrust {
+	if !r.load.Reported || age >= maxReportAge {
 		return 0
 	}
-	return 1 - float64(max(0, age))/float64(reportTrust)
+	return 1 - float64(max(0, age))/float64(maxReportAge)
 }
 
-// paceAt returns the momentary figure drawn towards the usual one by the report's age.
+// paceAt returns the reported pace, drawn towards the usual pace as the report ages.
 func (s *targetState) paceAt(now time.Time) float64 {
 	usual := plausiblePace(s.usualPace)
 	return usual + s.latest.weight(now)*(s.latest.pace()-usual)
 }
 
-// pace returns the momentary figure, 1 if the target reported none.
+// pace returns the reported pace, 1 if the target reported none.
 func (r *latestReport) pace() float64 { return plausiblePace(r.load.Pace) }
 
-// plausiblePace returns the momentary figure within the range in which it is believed, 1 if there is none.
+// plausiblePace returns the pace clamped to the range from minPace to maxPace, 1 if there is none.
 func plausiblePace(pace float64) float64 {
 	if pace == 0 {
 		return 1
@@ -143,6 +143,7 @@
 	return drawn
 }
 
+// capacity returns the number of slots in relation to the time that work takes at the target.
 func (s *targetState) capacity() float64 {
 	return float64(max(1, s.target.Slots)) / s.relativeSlowness()
 }
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -184,7 +184,7 @@
 	IsUneven bool
 	// Slowness is the time that work takes at the target relative to the mean of its service's targets, as learned.
 	Slowness float64
-	// Pace is the latest momentary figure that the target reported, 0 if there is none; PaceAge is the time since then.
+	// Pace is the latest pace that the target reported, see [radish.TargetLoad], 0 if there is none; PaceAge is the time since then.
 	Pace    float64
 	PaceAge time.Duration
 	// ExpectedCost is the expected time of another call at the target, in times of an average call without a queue.
--- a/pkg/radishfleet/pause.go
+++ b/pkg/radishfleet/pause.go
@@ -72,6 +72,7 @@
 	return f.hasUsable(service, f.versionsFor(service, "", 0, now), now)
 }
 
+// hasUsable reports whether the service has a usable target that the filter allows.
 func (f *Fleet) hasUsable(service string, v *versionFilter, now time.Time) bool {
 	for _, s := range f.byService[service] {
 		if f.isUsable(s, v, now) {
--- a/pkg/radishfleet/speed.go
+++ b/pkg/radishfleet/speed.go
@@ -57,7 +57,7 @@
 	Units float64
 	// Waiting is the number of waiting calls that the target reported with the response.
 	Waiting int
-	// Pace is the momentary figure that the target reported with the response; 0 means not reported.
+	// Pace is the pace that the target reported with the response, see [radish.TargetLoad]; 0 means not reported.
 	Pace float64
 }
 
@@ -67,12 +67,14 @@
 	at                   time.Time
 }
 
+// add adds an observation.
 func (m *decayedMean) add(x float64, now time.Time) {
 	factor := m.decay(now)
 	m.weight, m.sum, m.squares = m.weight*factor+1, m.sum*factor+x, m.squares*factor+x*x
 	m.at = now
 }
 
+// decay returns the factor by which the weights have fallen since the last observation.
 func (m *decayedMean) decay(now time.Time) float64 {
 	if m.weight == 0 {
 		return 0
@@ -153,6 +155,7 @@
 	return factors
 }
 
+// recordTiming adds the time to the means of its class and of the target. It ignores a nil target and work without time or units.
 func (f *Fleet) recordTiming(s *targetState, t Timing, now time.Time) {
 	if s == nil || t.Took <= 0 || t.Units <= 0 {
 		return
--- a/pkg/radishfleet/spread.go
+++ b/pkg/radishfleet/spread.go
@@ -29,6 +29,7 @@
 	slowest, fastest float64
 }
 
+// spreadOf compares the targets at the kind of work; the result is empty if fewer than two have observations.
 func spreadOf(targets []*targetState, kind WorkKind, now time.Time) speedSpread {
 	spread := speedSpread{fastest: math.Inf(1)}
 	sum, within := 0.0, 0.0
--- a/pkg/radishfleet/uneven_test.go
+++ b/pkg/radishfleet/uneven_test.go
@@ -149,15 +149,15 @@
 	f := newFleet(target("slow", "a"), target("t2", "a"))
 	f.Observe(target("slow", "a"), radish.TargetNotice{Load: radish.TargetLoad{Slots: 4, Pace: 2.5, Reported: true}}, testStart)
 	last := math.Inf(1)
-	for _, age := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond, reportTrust} {
+	for _, age := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond, maxReportAge} {
 		cost := f.targets["slow"].expectedCost(1, afterStart(age))
 		if cost >= last {
 			t.Errorf("expected time %.2f at the age of %v, %.2f before", cost, age, last)
 		}
 		last = cost
 	}
-	if other := f.targets["t2"].expectedCost(1, afterStart(reportTrust)); last != other {
-		t.Errorf("expected time %.2f after %v, want that of the other target, %.2f", last, reportTrust, other)
+	if other := f.targets["t2"].expectedCost(1, afterStart(maxReportAge)); last != other {
+		t.Errorf("expected time %.2f after %v, want that of the other target, %.2f", last, maxReportAge, other)
 	}
 }
 
--- a/pkg/radishfleet/usual_pace.go
+++ b/pkg/radishfleet/usual_pace.go
@@ -25,6 +25,7 @@
 	Pace float64
 }
 
+// paceKey returns a hash of the target's name and start.
 func paceKey(t radish.Target) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(t.Name))
@@ -76,7 +77,7 @@
 	return paces
 }
 
-// MergePaces takes over the usual paces that another VM knows where they are lower.
+// MergePaces takes over the usual paces of another VM that are lower than those known here.
 func (f *Fleet) MergePaces(paces []TargetPace) {
 	byKey := make(map[uint32]float64, len(paces))
 	for _, p := range paces {
--- a/pkg/radishfleet/version.go
+++ b/pkg/radishfleet/version.go
@@ -116,6 +116,7 @@
 	}
 }
 
+// countVersion returns the number of targets of the version, including those that are leaving.
 func (f *Fleet) countVersion(service, version string) int {
 	n := 0
 	for _, s := range f.byService[service] {
@@ -133,6 +134,7 @@
 	return f.countStaying(service, version)
 }
 
+// countStaying returns the number of targets of the version that are not leaving.
 func (f *Fleet) countStaying(service, version string) int {
 	n := 0
 	for _, s := range f.byService[service] {
@@ -164,8 +166,8 @@
 	held map[string]bool
 	// chosen holds the candidate's targets that admitted calls are sent to.
 	chosen map[*targetState]bool
-	// wantsCandidate is whether the filter allows only the chosen targets.
-	wantsCandidate bool
+	// isChosenOnly is whether the filter allows only the chosen targets.
+	isChosenOnly bool
 }
 
 // versionsFor returns the filter for so many calls on the route.
@@ -194,7 +196,7 @@
 	return v
 }
 
-// hasAllowed reports whether the service has a target that the filter allows and that is there to stay.
+// hasAllowed reports whether the service has a target that the filter allows and that is not leaving.
 func (f *Fleet) hasAllowed(service string, v *versionFilter) bool {
 	for _, s := range f.byService[service] {
 		if v.allows(s) && f.isStaying(s) {
@@ -204,7 +206,7 @@
 	return false
 }
 
-// isOnlyVersion reports whether all targets of the service that are there to stay are of the version.
+// isOnlyVersion reports whether all targets of the service that are not leaving are of the version.
 func (f *Fleet) isOnlyVersion(service, version string) bool {
 	for _, s := range f.byService[service] {
 		if s.target.Version != version && f.isStaying(s) {
@@ -248,7 +250,7 @@
 	for _, s := range available[:min(n, len(available))] {
 		chosen[s] = true
 	}
-	return &versionFilter{rule: v.rule, chosen: chosen, wantsCandidate: true}
+	return &versionFilter{rule: v.rule, chosen: chosen, isChosenOnly: true}
 }
 
 func anyTarget(*targetState) bool { return true }
@@ -258,7 +260,7 @@
 	if v == nil {
 		return true
 	}
-	if v.wantsCandidate {
+	if v.isChosenOnly {
 		return v.chosen[s]
 	}
 	version := s.target.Version
--- a/pkg/radishhedge/hedger.go
+++ b/pkg/radishhedge/hedger.go
@@ -53,6 +53,7 @@
 	h.limitOf(service).copies++
 }
 
+// limitOf returns the limit of the service, which it creates if there is none. The caller holds mu.
 func (h *Hedger) limitOf(service string) *limit {
 	if h.limits == nil {
 		h.limits = make(map[string]*limit)
--- a/pkg/radishhedge/limit.go
+++ b/pkg/radishhedge/limit.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// limitSeconds is the number of seconds over which the calls are counted that limit how many unused copies are kept.
+	// limitSeconds is the number of seconds for which calls are counted. Their number limits how many unused copies are kept.
 	limitSeconds = 10
 	// burstShare is the number of unused copies that are kept, as a share of the calls of the last limitSeconds.
 	burstShare = 0.1
@@ -12,18 +12,21 @@
 // limit is how many copies of the calls of one service may be sent. It starts with none and grows by the share with each call, so that the
 // copies never exceed the share of the calls, whatever the number of VMs.
 type limit struct {
+	// copies is the number of unused copies.
 	copies float64
 	// calls counts the calls by second; second is the one of the latest call.
 	calls  [limitSeconds]int
 	second int64
 }
 
+// recordCall counts a call and adds its share of a copy.
 func (l *limit) recordCall(share float64, now time.Time) {
 	l.advance(now)
 	l.calls[l.second%limitSeconds]++
 	l.copies += share
 }
 
+// take uses up one copy and reports whether there was one.
 func (l *limit) take(now time.Time) bool {
 	l.advance(now)
 	l.copies = min(l.copies, l.burst())
--- a/pkg/radishhedge/times.go
+++ b/pkg/radishhedge/times.go
@@ -42,9 +42,10 @@
 	histogram *hdrhistogram.WindowedHistogram
 	// rotatedAt is the start of the current window; usedAt is the time of the latest observation.
 	rotatedAt, usedAt time.Time
-	latest            Estimate
-	isKnown           bool
-	estimatedAt       time.Time
+	// latest is the estimate as of estimatedAt; isKnown is whether it rests on enough observations.
+	latest      Estimate
+	isKnown     bool
+	estimatedAt time.Time
 }
 
 // timesOf returns the times of the kind. If there are too many kinds, the one that was not observed for the longest time is discarded.
@@ -66,6 +67,7 @@
 	return t
 }
 
+// discardOldest discards the times of the kind that was not observed for the longest time.
 func (h *Hedger) discardOldest() {
 	var oldest Kind
 	var oldestAt time.Time
@@ -98,6 +100,7 @@
 	}
 }
 
+// estimate returns the latest estimate, computed anew if it is older than estimateTTL; ok is false if there are too few observations.
 func (t *times) estimate(quantile float64, now time.Time) (Estimate, bool) {
 	if t.estimatedAt.IsZero() || now.Sub(t.estimatedAt) >= estimateTTL {
 		t.rotate(now)
@@ -109,6 +112,7 @@
 	return t.latest, t.isKnown
 }
 
+// valueAt returns the time at the quantile, from 0 to 1.
 func valueAt(histogram *hdrhistogram.Histogram, quantile float64) time.Duration {
 	const percent = 100
 	return time.Duration(histogram.ValueAtQuantile(percent*quantile)) * timeUnit
--- a/pkg/radishquarantine/quarantine.go
+++ b/pkg/radishquarantine/quarantine.go
@@ -224,6 +224,7 @@
 	return q.decide(parts, now, false)
 }
 
+// decide implements Check and Preview; isCounted is whether a call that may be sent once counts as a trial.
 func (q *Quarantine) decide(parts []string, now time.Time, isCounted bool) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/pkg/radishrollout/comparison.go
+++ b/pkg/radishrollout/comparison.go
@@ -18,8 +18,8 @@
 	windowResponses = 10
 	// windowParts is the number of windows that a bad verdict takes at least, so that a burst on one target does not suffice.
 	windowParts = 4
-	// slowQuantile is the quantile of the old version's times on a route that a slow response exceeds by slowBuckets buckets,
-	// 1.5 to 2.25 times.
+	// A response is slow if its bucket is more than slowBuckets above that of the slowQuantile of the old version's times on the
+	// route: it took at least 1.5 to 2.25 times as long.
 	slowQuantile = 0.95
 	slowBuckets  = 1
 	// minBaseline is the number of the old version's responses on a route from which the quantile is taken.
@@ -128,7 +128,7 @@
 	return w
 }
 
-// addScore adds the gain of a window. The part of one window is limited; the sum starts anew when it speaks for the candidate.
+// addScore adds the gain of a window. The part of one window is limited; the sum is reset to 0 when it would become negative.
 func (c *comparison) addScore(key scoreKey, gain float64) {
 	if _, ok := c.scores[key]; !ok && len(c.scores) >= (MaxRoutes+1)*kindCount*len(ratios) {
 		return
@@ -147,6 +147,7 @@
 	return math.Log(tests / falseRevert)
 }
 
+// findWorst updates worst and worstKey from the scores.
 func (c *comparison) findWorst() {
 	c.worst, c.worstKey = 0, scoreKey{}
 	for key, score := range c.scores {
@@ -176,6 +177,7 @@
 	return c.tables[kindFailure].isInDoubt() || c.worst >= doubtPart && c.worstKey.kind == kindFailure
 }
 
+// isComplete reports whether the window has lasted long enough for the number of responses in it.
 func (w *routeWindow) isComplete(total *RouteEvidence, now time.Time) bool {
 	elapsed := now.Sub(w.startAt)
 	if elapsed < windowTime {
--- a/pkg/radishrollout/order.go
+++ b/pkg/radishrollout/order.go
@@ -51,7 +51,7 @@
 	// Failed is whether the target's response is a failure. A call that got no response, because of a cut link or because the
 	// target is down, is not recorded.
 	Failed bool
-	// Took is the time that the response took, ignored for failures.
+	// Took is the time that the response took; it is ignored for failures.
 	Took time.Duration
 	// Target is the name of the target, by which the failures of a single candidate target are told from those of the version;
 	// optional.
--- a/pkg/radishrollout/progress.go
+++ b/pkg/radishrollout/progress.go
@@ -86,11 +86,11 @@
 	r.comparison.windowCount = max(1, float64(r.Order.Duration/windowTime))
 	r.comparison.update(r.totals, now)
 	if r.verdict == "" {
-		r.judge(now)
+		r.updateVerdict(now)
 	}
 }
 
-// describe says in words what the candidate was found to do.
+// describe returns the reason of a bad verdict, for the log.
 func (c *comparison) describe() string {
 	what := "failures"
 	if c.worstKey.kind == kindSlow {
--- a/pkg/radishrollout/record.go
+++ b/pkg/radishrollout/record.go
@@ -101,6 +101,7 @@
 	}
 }
 
+// export returns a copy of the record as evidence for peers.
 func (rec *record) export(source Source, order int64) Evidence {
 	e := Evidence{Source: source, OrderRevision: order, Age: rec.age, Phase: rec.phase, OldInFlight: rec.oldInFlight, Suspect: rec.suspect}
 	for _, counts := range rec.routes {
@@ -136,7 +137,7 @@
 	return raise(&known.Responses, t.Responses) || raise(&known.Bad, t.Bad)
 }
 
-// findTarget returns the place of the target in the sorted targets.
+// findTarget returns the index of the target in the sorted targets, or the one at which to insert it.
 func (e *RouteEvidence) findTarget(name string) (i int, ok bool) {
 	return slices.BinarySearchFunc(e.Targets, name, func(t TargetEvidence, name string) int { return cmp.Compare(t.Target, name) })
 }
@@ -189,6 +190,7 @@
 	return grown
 }
 
+// grow extends the histogram to at least n buckets.
 func (v *VersionCounts) grow(n int) {
 	for len(v.Times) < n {
 		v.Times = append(v.Times, 0)
--- a/pkg/radishrollout/rollout.go
+++ b/pkg/radishrollout/rollout.go
@@ -214,6 +214,7 @@
 	}
 }
 
+// compareSources orders sources by VM and then by incarnation.
 func compareSources(a, b Source) int {
 	return cmp.Or(strings.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation))
 }
--- a/pkg/radishrollout/suspect.go
+++ b/pkg/radishrollout/suspect.go
@@ -29,8 +29,8 @@
 // SuspectTarget returns the candidate's target that must get no calls while the rollout runs, "" if there is none.
 func (r *Rollout) SuspectTarget() string { return r.suspect.target }
 
-// judge turns the comparison into a verdict, unless another target is to be tried first.
-func (r *Rollout) judge(now time.Time) {
+// updateVerdict sets the verdict if the comparison finds the version bad, unless a single target is suspected and must be avoided first.
+func (r *Rollout) updateVerdict(now time.Time) {
 	target := suspectOf(r.totals)
 	switch {
 	case r.suspect.target == "" && target != "" && r.Targets > 1 && r.isInDoubt():
@@ -42,6 +42,7 @@
 	}
 }
 
+// startSuspecting avoids the target from now on, here and in the evidence for peers.
 func (r *Rollout) startSuspecting(target string, now time.Time) {
 	r.suspect = suspect{target: target, settledAt: now.Add(settleTime), needed: minResponses}
 	if r.comparison.isDoubtOfFailures() {
--- a/pkg/radishroute/config.go
+++ b/pkg/radishroute/config.go
@@ -152,7 +152,7 @@
 	return best
 }
 
-// BuildIndex builds the lookup tables for Match and HasCompetingStages. It must be called once after the routes, services and teams
+// BuildIndex builds the lookup tables for Match, StageRank and HasCompetingStages. It must be called once after the routes, services and teams
 // are set.
 func (c *Config) BuildIndex() {
 	c.byHost = make(map[string][]*Route)
@@ -167,6 +167,7 @@
 	}
 }
 
+// addStagePriorities adds the priorities that calls on the route may have to those of the stage service.
 func (c *Config) addStagePriorities(service string, r *Route) {
 	priorities := c.stagePriorities[service]
 	if priorities == nil {
