radishsite: explain the rollout code to new readers

Some names did not say what they hold: hasAsked was set by an answer, revertSettle is a delay, and the ...Part constants are divisors. Names of unexported identifiers and comments only; the behaviour is unchanged.

--- a/internal/radishsite/memory.go
+++ b/internal/radishsite/memory.go
@@ -28,15 +28,18 @@
 	return radishmemory.BufferSizes(settings.MemoryMB, maxCallerConns(settings))
 }
 
+// callerListenConfig returns the configuration of the socket for callers, with buffers that fit the memory.
 func (s *Server) callerListenConfig() *net.ListenConfig {
 	request, response := BufferSizes(s.InitialSettings)
 	return radishdial.NewCallerListenConfig(s.SendTimeout, radishdial.Buffers{Receive: request, Send: response})
 }
 
+// callerListener wraps the listener for callers so that connections are limited and heads of requests count towards the memory budget.
 func (s *Server) callerListener(inner net.Listener) net.Listener {
 	return s.callerConns.Listener(&radishconn.HeadListener{Listener: inner, Account: s.memory, MaxHeadBytes: s.maxHeaderBytes})
 }
 
+// maxHeaderBytes returns the configuration's limit on the head of a request, or 0 until a configuration is loaded.
 func (s *Server) maxHeaderBytes() int {
 	if cfg := s.state.config.Load(); cfg != nil {
 		return cfg.Limits.MaxHeaderBytes
--- a/internal/radishsite/rollout.go
+++ b/internal/radishsite/rollout.go
@@ -26,8 +26,8 @@
 	services map[string]*serviceVersions
 	// serviceOf holds the service of each order by the name of its record.
 	serviceOf map[string]string
-	// hasAsked is whether a peer has answered what it knows of orders.
-	hasAsked bool
+	// hasPeerAnswer is whether a peer has answered what it knows of orders.
+	hasPeerAnswer bool
 }
 
 // serviceVersions is what is known of the versions of one service. Its order stays until its record is removed.
--- a/internal/radishsite/rollout_evidence_test.go
+++ b/internal/radishsite/rollout_evidence_test.go
@@ -49,7 +49,7 @@
 		c.store.put("s", "v2", testDuration)
 		time.Sleep(time.Second)
 		m := c.vms[0].manager
-		order := coreOrder(m.runningOrders()[0]).ID()
+		order := toRolloutOrder(m.runningOrders()[0]).ID()
 		m.mergeEvidence([]*radishpeerpb.RolloutEvidence{
 			nil, {}, {Service: "s"}, {Service: "unknown", OrderId: order, Vm: "vm-9", Phase: "reverted"},
 			{Service: "s", OrderId: order + 1, Vm: "vm-9", Phase: "reverted"},
@@ -101,7 +101,7 @@
 		}
 		time.Sleep(time.Second)
 		c.vms[0].manager.mergeEvidence([]*radishpeerpb.RolloutEvidence{
-			{Service: "s", OrderId: coreOrder(order).ID(), Vm: "vm-11", Incarnation: 1, Phase: string(radishrollout.PhaseReverted)},
+			{Service: "s", OrderId: toRolloutOrder(order).ID(), Vm: "vm-11", Incarnation: 1, Phase: string(radishrollout.PhaseReverted)},
 		}, time.Now())
 		time.Sleep(500 * time.Millisecond)
 		toldAt := time.Now()
--- a/internal/radishsite/rollout_history.go
+++ b/internal/radishsite/rollout_history.go
@@ -8,8 +8,8 @@
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
 )
 
-// The history of a service is which versions its earlier orders have left in use. The store holds only the last order, so that VMs that
-// start get the history from their peers. While the order stays the same, it only grows.
+// The history of a service is the served version and the barred versions that its earlier orders have left. The store holds only the last
+// order, so VMs that start get the history from their peers. While the order stays the same, versions are only added to the history.
 
 const (
 	// maxHistories is the number of services whose histories are taken from a peer.
@@ -22,14 +22,14 @@
 func (m *rolloutManager) recordAnswer() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.hasAsked = true
+	m.hasPeerAnswer = true
 }
 
 // knowsHistory reports whether a peer has answered, or whether there is none.
 func (m *rolloutManager) knowsHistory() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.hasAsked || m.vmCount() == 1
+	return m.hasPeerAnswer || m.vmCount() == 1
 }
 
 // hasHistory reports whether an order has left versions that get no calls.
@@ -46,6 +46,7 @@
 	return radish.RendezvousScore(service, fmt.Sprint(s.orderID, s.hasOrder, s.served, barred))
 }
 
+// encodeHistories returns the histories of all services that have one.
 func (m *rolloutManager) encodeHistories() []*radishpeerpb.RolloutHistory {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/radishsite/rollout_order.go
+++ b/internal/radishsite/rollout_order.go
@@ -8,8 +8,8 @@
 	"radishramp.example/radishramp/pkg/radishrollout"
 )
 
-// coreOrder returns the order in the form in which its rollout is decided.
-func coreOrder(o radish.RolloutOrder) radishrollout.Order {
+// toRolloutOrder returns the part of the order that decisions about its rollout use.
+func toRolloutOrder(o radish.RolloutOrder) radishrollout.Order {
 	return radishrollout.Order{
 		Service: o.Service, Version: o.Version, Duration: o.Duration, CreatedRevision: o.CreatedRevision, Revision: o.Revision,
 	}
@@ -28,7 +28,7 @@
 	if s.hasOrder && s.order.Name == o.Name && s.order.Revision > o.Revision {
 		return
 	}
-	if !s.hasOrder || s.orderID != coreOrder(o).ID() {
+	if !s.hasOrder || s.orderID != toRolloutOrder(o).ID() {
 		m.start(s, o, source, now)
 	}
 	s.order = o
@@ -57,10 +57,10 @@
 	s.bar()
 	s.unbar(o.Version)
 	settings := m.settings()
-	s.hasOrder, s.order, s.orderID, s.finished = true, o, coreOrder(o).ID(), ""
+	s.hasOrder, s.order, s.orderID, s.finished = true, o, toRolloutOrder(o).ID(), ""
 	s.writer, s.decision, s.loggedAt = statusWriter{}, radishrollout.Decision{}, time.Time{}
 	s.rollout = &radishrollout.Rollout{
-		Order: coreOrder(o), Self: m.self, StartedAt: now, VMs: max(1, m.vmCount()),
+		Order: toRolloutOrder(o), Self: m.self, StartedAt: now, VMs: max(1, m.vmCount()),
 		Limits: radishrollout.Limits{MaxShare: settings.ExposureShare, Slack: settings.ExposureSlack, RevertWithin: settings.RevertWithin},
 	}
 	if o.Version == s.served {
@@ -83,6 +83,7 @@
 	s.barred = append(slices.Clone(s.barred[max(0, len(s.barred)-maxBarred+1):]), s.order.Version)
 }
 
+// unbar lets the version get calls again.
 func (s *serviceVersions) unbar(version string) {
 	s.barred = slices.DeleteFunc(slices.Clone(s.barred), func(other string) bool { return other == version })
 }
--- a/internal/radishsite/rollout_status.go
+++ b/internal/radishsite/rollout_status.go
@@ -17,17 +17,17 @@
 	rolloutInterval = 100 * time.Millisecond
 	// evidenceInterval is the time between two reports of this VM's evidence to all peers.
 	evidenceInterval = 500 * time.Millisecond
-	// statusTakeover is how long a VM waits for the status that another one is to write. Shortly before the deadline it is a part of the
-	// time left, at least minStatusTakeover.
-	statusTakeover     = time.Second
-	minStatusTakeover  = 200 * time.Millisecond
-	statusTakeoverPart = 4
-	// revertSettle is the time from the decision that a version is reverted to its write, so that all VMs have stopped sending to it by then:
-	// those that the decision does not reach stop when they have heard too few others for 1.5 s. Shortly before the deadline it is a part of
-	// the time left, at least minRevertSettle.
-	revertSettle     = 2 * time.Second
-	minRevertSettle  = 200 * time.Millisecond
-	revertSettlePart = 4
+	// statusTakeover is how long a VM waits for the status that another one is to write. Shortly before the deadline it is the
+	// time left divided by statusTakeoverDivisor, at least minStatusTakeover.
+	statusTakeover        = time.Second
+	minStatusTakeover     = 200 * time.Millisecond
+	statusTakeoverDivisor = 4
+	// revertDelay is the time from the decision that a version is reverted to its write, so that all VMs have stopped sending to it by then:
+	// those that the decision does not reach stop when they have heard too few others for 1.5 s. Shortly before the deadline it is the
+	// time left divided by revertDelayDivisor, at least minRevertDelay.
+	revertDelay        = 2 * time.Second
+	minRevertDelay     = 200 * time.Millisecond
+	revertDelayDivisor = 4
 	// minStatusRetry and maxStatusRetry bound the time after a failed write, which doubles with each failure.
 	minStatusRetry = 200 * time.Millisecond
 	maxStatusRetry = time.Second
@@ -74,10 +74,10 @@
 	if state != w.wanted {
 		w.wanted, w.wantedSince = state, now
 		if state == radish.RolloutReverted {
-			w.wantedSince = now.Add(min(revertSettle, max(minRevertSettle, left/revertSettlePart)))
+			w.wantedSince = now.Add(min(revertDelay, max(minRevertDelay, left/revertDelayDivisor)))
 		}
 	}
-	turn := w.wantedSince.Add(time.Duration(rank) * min(statusTakeover, max(minStatusTakeover, left/statusTakeoverPart)))
+	turn := w.wantedSince.Add(time.Duration(rank) * min(statusTakeover, max(minStatusTakeover, left/statusTakeoverDivisor)))
 	if state == radish.RolloutPending || w.isWriting || now.Before(turn) || now.Before(w.retryAt) {
 		return order, status, false
 	}
@@ -90,7 +90,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.services[order.Service]
-	if s == nil || !s.isRunning() || s.orderID != coreOrder(order).ID() {
+	if s == nil || !s.isRunning() || s.orderID != toRolloutOrder(order).ID() {
 		return
 	}
 	w := &s.writer
