radishstage: use the usual terms for preemption and floors

giveWay, makeRoom, keepsFloor, heldWork and similar names needed an explanation; keepsFloor read as its opposite. They become preempt, preemptExcess, isProtectedByFloor and maxPrecedingWork. Log messages and metric labels are unchanged, and so is the behaviour.

--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -21,8 +21,8 @@
 	// inTimeMargin is the factor by which the time left must exceed a plan's expected time for the plan to count as in time,
 	// since half of the plans take longer than expected.
 	inTimeMargin = 1.07
-	// besideArrivalsMargin is the part of their estimated time that plans may take in addition beside those of earlier classes, whose arrivals
-	// are not even. Plans that are refused at once can return earlier than those that give way.
+	// besideArrivalsMargin is the part of its estimated time that is added for a plan that competes with more urgent classes, whose arrivals
+	// are uneven. A plan that is refused at once can be retried earlier than one that is preempted.
 	besideArrivalsMargin = 0.2
 	// plannedThroughput is the fraction of the targets' highest throughput that admission relies on.
 	plannedThroughput = 0.85
@@ -34,8 +34,8 @@
 	class int
 	// expected is the estimated time of the plan.
 	expected time.Duration
-	// needsRoom is whether the plan can be in time only if work of later classes gives way.
-	needsRoom bool
+	// needsPreemption is whether the plan can be in time only if jobs of later classes are preempted.
+	needsPreemption bool
 }
 
 // decide returns the decision to admit the plan, with the estimated time behind the work that was admitted before, or the error with which
@@ -79,14 +79,14 @@
 		return admission{}, false
 	}
 	if expected, ok := c.fitsBefore(p, class, needs, now); ok {
-		return admission{class: class, expected: expected, needsRoom: true}, true
+		return admission{class: class, expected: expected, needsPreemption: true}, true
 	}
 	if !mayBeHeld(class) || !c.isBelowFloor(p, kinds[0], now) {
 		return admission{}, false
 	}
 	class = radishbatch.FirstClass + 1
 	expected, ok := c.fitsBefore(p, class, needs, now)
-	return admission{class: class, expected: expected, needsRoom: true}, ok
+	return admission{class: class, expected: expected, needsPreemption: true}, ok
 }
 
 // fitsBefore reports whether the plan is in time, or its queue short, and whether it makes no other late, if it waits only for work of the
@@ -190,6 +190,7 @@
 
 func round2(x float64) float64 { return math.Round(100*x) / 100 }
 
+// priorityLabel returns the priority of the plan for metrics; empty if it has none.
 func priorityLabel(p *Plan) string {
 	if p.Urgency == nil {
 		return ""
@@ -297,10 +298,12 @@
 	}
 }
 
+// typicalCallTime returns the time of a call with typicalFill of the highest number of pieces.
 func typicalCallTime(batch *radishroute.BatchSettings) time.Duration {
 	return batch.CallTime + time.Duration(typicalFill*float64(batch.MaxPieces)*float64(batch.PieceTime))
 }
 
+// fullCallTime returns the time of a call with the highest number of pieces.
 func fullCallTime(batch *radishroute.BatchSettings) time.Duration {
 	return batch.CallTime + time.Duration(batch.MaxPieces)*batch.PieceTime
 }
--- a/internal/radishstage/coordinator.go
+++ b/internal/radishstage/coordinator.go
@@ -116,8 +116,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if a.needsRoom {
-		c.makeRoom(p, a.class, now)
+	if a.needsPreemption {
+		c.preemptExcess(p, a.class, now)
 	}
 	j := newJob(p, c.typicalTime)
 	j.admittedAt, j.expected, j.class, j.kinds, j.density = now, a.expected, a.class, kinds, c.density(p)
@@ -188,7 +188,7 @@
 	}
 	j.ended, j.err = true, err
 	delete(c.jobs, j)
-	c.unhold(j)
+	c.endHold(j)
 	if !j.begun {
 		c.recordTeamUse(j, -1, time.Now())
 	}
--- a/internal/radishstage/floor.go
+++ b/internal/radishstage/floor.go
@@ -9,7 +9,7 @@
 	"radishramp.example/radishramp/pkg/radishbatch"
 )
 
-// Dimensions of the kinds of plans that keep a floor of the capacity.
+// Dimensions of the kinds of plans. Each kind has a floor: a minimum share of the capacity, which it gets also under more urgent load.
 const (
 	dimensionPriority   = "priority"
 	dimensionTeam       = "team"
@@ -85,11 +85,12 @@
 	return true
 }
 
-// maxKept is the number of plans, among those that could give way to another one, that are passed over for the floors of their kinds.
-const maxKept = 16
+// maxPassedOver is the highest number of jobs that are passed over for the floors of their kinds when jobs are preempted for a plan.
+const maxPassedOver = 16
 
-// keepsFloor reports whether the job's team, size or data centre got less than its floor. The job then gives way only if no other can.
-func (c *Coordinator) keepsFloor(j *job, now time.Time) bool {
+// isProtectedByFloor reports whether the job's team, size or data centre got less than its floor. The job is then preempted only if no
+// other one can be.
+func (c *Coordinator) isProtectedByFloor(j *job, now time.Time) bool {
 	for _, k := range j.kinds[1:] {
 		if c.isBelowFloor(j.plan, k, now) {
 			return true
@@ -98,21 +99,23 @@
 	return false
 }
 
-// maxRaises is the number of held jobs of each class that are considered for the floor of their priority in one round of dispatch.
-const maxRaises = 4
+// maxPromotions is the highest number of held jobs of each class that are checked against the floor of their priority in one round of
+// dispatch.
+const maxPromotions = 4
 
-// raiseForFloor queues the first held jobs of priorities that got less than their floor, in the most urgent class. The jobs are sorted.
-func (c *Coordinator) raiseForFloor(jobs []*job, now time.Time) {
+// promoteBelowFloor queues the first held jobs of priorities that got less than their floor, in the most urgent class. The jobs must
+// be sorted by [Coordinator.sortedHeldJobs].
+func (c *Coordinator) promoteBelowFloor(jobs []*job, now time.Time) {
 	considered := make(map[int]int)
 	for _, j := range jobs {
 		class := j.class
-		if considered[class] == maxRaises || !mayBeHeld(class) || j.isLate(now) {
+		if considered[class] == maxPromotions || !mayBeHeld(class) || j.isLate(now) {
 			continue
 		}
 		considered[class]++
 		if c.isBelowFloor(j.plan, j.kinds[0], now) {
 			c.recordUse(j, now)
-			c.unhold(j)
+			c.endHold(j)
 			c.setClass(j, radishbatch.FirstClass+1)
 			c.advance(j)
 		}
--- a/internal/radishstage/hold.go
+++ b/internal/radishstage/hold.go
@@ -9,18 +9,18 @@
 )
 
 // Jobs of all but the most urgent class are held: their first pieces are queued only shortly before the targets of all their stages can
-// take them. They end no later for it, but until then they can give way, and no result of theirs takes up space or expires.
+// take them. Holding does not delay their end. Held jobs can still be preempted, and they have no results that take up space or expire.
 
-// While there are more held jobs than fewHeldJobs, they are considered only every heldInterval, which is short beside a batch, since a
-// burst holds hundreds and causes a round of dispatch every few milliseconds.
+// More than fewHeldJobs held jobs are considered only every heldInterval, to limit the processor time: in a burst there are hundreds, and a
+// round of dispatch every few milliseconds. The interval is short in relation to the time of a batch.
 const (
 	fewHeldJobs  = 50
 	heldInterval = 20 * time.Millisecond
 )
 
-// heldWork is the work, as a part of a batch of each target, that may precede a held job at each of its stages when it is queued: enough that no
-// target waits for work, and little enough that urgent plans with several stages can be in time behind it.
-const heldWork = 0.5
+// maxPrecedingWork is the most work, as a fraction of the typical time of a batch, that may precede a held job at each of its stages when
+// it is queued. A lower value leaves targets idle; a higher one delays urgent plans with several stages.
+const maxPrecedingWork = 0.5
 
 // mayBeHeld reports whether jobs of the class are held while the targets have enough other work.
 func mayBeHeld(class int) bool { return class > radishbatch.FirstClass+1 }
@@ -33,8 +33,8 @@
 	c.heldJobs[j] = true
 }
 
-// unhold ends the hold, if there is one.
-func (c *Coordinator) unhold(j *job) {
+// endHold ends the hold, if there is one.
+func (c *Coordinator) endHold(j *job) {
 	if !j.isHeld {
 		return
 	}
@@ -44,8 +44,8 @@
 	delete(c.heldJobs, j)
 }
 
-// queueHeld queues the held jobs whose stages have capacity, those of lower classes first, and then those that are due first. Jobs that
-// would be late are refused if capacity is short or they would have to wait for long, and come last otherwise.
+// queueHeld queues the held jobs whose stages have capacity, those of the most urgent class first, and then those that are due first.
+// Jobs that would be late are refused if capacity is short or they would have to wait for long, and come last otherwise.
 func (c *Coordinator) queueHeld(now time.Time) {
 	isSoon := now.Sub(c.heldQueuedAt) < heldInterval && len(c.heldJobs) > fewHeldJobs
 	if len(c.heldJobs) == 0 || isSoon {
@@ -53,7 +53,7 @@
 	}
 	c.heldQueuedAt = now
 	jobs := c.sortedHeldJobs(now)
-	c.raiseForFloor(jobs, now)
+	c.promoteBelowFloor(jobs, now)
 	loads := make(map[string]*serviceLoad)
 	for _, j := range jobs {
 		if !j.isHeld {
@@ -68,7 +68,7 @@
 		}
 		if f.hasCapacity {
 			j.addTo(loads, now)
-			c.unhold(j)
+			c.endHold(j)
 			c.advance(j)
 		}
 	}
@@ -178,7 +178,7 @@
 		}
 		l := c.loadOf(s, loads, now)
 		wait := max(0, l.TimeOf(l.pieces(j.dueTimes[i].Sub(now)), int64(s.Pieces)*s.ResultBytes)-ends[i])
-		f.hasCapacity = f.hasCapacity && wait <= time.Duration(heldWork*float64(l.TypicalBatchTime))
+		f.hasCapacity = f.hasCapacity && wait <= time.Duration(maxPrecedingWork*float64(l.TypicalBatchTime))
 		ends[i] += wait + l.TypicalBatchTime
 		fullEnds[i] += wait + l.fullBatchTime
 		f.typical, f.full = max(f.typical, ends[i]), max(f.full, fullEnds[i])
--- a/internal/radishstage/hopeless.go
+++ b/internal/radishstage/hopeless.go
@@ -9,11 +9,12 @@
 // errHopeless reports that a plan was given up because it could no longer end before its deadline.
 var errHopeless = fmt.Errorf("%w: the plan cannot end before its deadline", ErrFailed)
 
-// hopelessInterval is the time between two checks for hopeless plans. It is short beside a call to a target, which a hopeless plan would take.
+// hopelessInterval is the time between two checks for hopeless plans. It is short in relation to the call to a
+// target that a hopeless plan would use.
 const hopelessInterval = 50 * time.Millisecond
 
-// fastestCall is the share of its expected time that a call takes at least at the fastest targets, whose speeds differ.
-const fastestCall = 0.8
+// minCallTimeFactor is the time of a call at the fastest targets in relation to the expected one.
+const minCallTimeFactor = 0.8
 
 // dropHopeless ends the jobs that cannot end before their deadline even if nothing more is queued before them, so that what they hold is
 // released at once. Jobs without an urgency are not considered.
@@ -27,7 +28,7 @@
 		if j.plan.Urgency == nil {
 			continue
 		}
-		shortest := time.Duration(fastestCall * float64(c.shortestTime(j, starts, now)))
+		shortest := time.Duration(minCallTimeFactor * float64(c.shortestTime(j, starts, now)))
 		if !now.Add(shortest).After(j.plan.Deadline) {
 			continue
 		}
--- a/internal/radishstage/priority.go
+++ b/internal/radishstage/priority.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// begin records that a piece of the job is part of a call. From then on the job gives way to no other, since its results would be lost.
+// begin records that a piece of the job is part of a call. From then on the job is not preempted, since its results would be lost.
 func (c *Coordinator) begin(j *job) {
 	if j.begun || j.plan.Urgency == nil {
 		j.begun = true
@@ -43,9 +43,9 @@
 	c.setClass(j, radishbatch.FirstClass)
 }
 
-// shortMemory is how long a service counts as short of capacity after a plan was refused. Admission refuses what does not fit, so that the
+// shortageTTL is how long a service counts as short of capacity after a plan was refused. Admission refuses what does not fit, so that the
 // queues alone do not show that capacity is short.
-const shortMemory = time.Second
+const shortageTTL = time.Second
 
 // recordShortage records that the stages of the plan had too little capacity.
 func (c *Coordinator) recordShortage(p *Plan, now time.Time) {
@@ -59,31 +59,32 @@
 // wasShort reports whether the service had too little capacity a short time ago.
 func (c *Coordinator) wasShort(service string, now time.Time) bool {
 	at, ok := c.shortAt[service]
-	return ok && now.Sub(at) < shortMemory
+	return ok && now.Sub(at) < shortageTTL
 }
 
-// makeRoom ends jobs of lower classes that have not begun, as far as the plan makes too much of the work at its services late. The plan
-// must not be counted yet.
-func (c *Coordinator) makeRoom(p *Plan, class int, now time.Time) {
+// preemptExcess ends jobs of less urgent classes that have not begun until the services of the plan have no excess work. It must be called
+// before the pieces of the plan are counted as upcoming.
+func (c *Coordinator) preemptExcess(p *Plan, class int, now time.Time) {
 	excess := c.excessOf(p, now)
 	if len(excess) == 0 {
 		return
 	}
 	c.recordShortage(p, now)
 	candidates := c.candidates(class, excess)
-	kept := c.giveWayFor(p, candidates, excess, now, func(j *job) bool { return c.keepsFloor(j, now) })
-	c.giveWayFor(p, kept, excess, now, func(*job) bool { return false })
+	kept := c.preemptFor(p, candidates, excess, now, func(j *job) bool { return c.isProtectedByFloor(j, now) })
+	c.preemptFor(p, kept, excess, now, func(*job) bool { return false })
 }
 
-// giveWayFor ends candidates for the plan until no service has excess work, and returns those that it passed over.
-func (c *Coordinator) giveWayFor(
+// preemptFor ends candidates in favour of the plan until no service has excess work. It returns those that it passed over because isKept
+// reports true, at most maxPassedOver.
+func (c *Coordinator) preemptFor(
 	p *Plan, candidates []*job, list map[string]*excess, now time.Time, isKept func(*job) bool,
 ) (kept []*job) {
 	for _, j := range candidates {
 		if !j.relieves(list) {
 			continue
 		}
-		if len(kept) < maxKept && isKept(j) {
+		if len(kept) < maxPassedOver && isKept(j) {
 			kept = append(kept, j)
 			continue
 		}
@@ -92,12 +93,12 @@
 				e.pieces -= s.Pieces
 			}
 		}
-		c.giveWay(j, p, now)
+		c.preempt(j, p, now)
 	}
 	return kept
 }
 
-// excess is the work at a service that must give way.
+// excess is the work at a service that must be ended so that the rest is in time.
 type excess struct {
 	// pieces is the number of pieces, dueBy the latest due time of pieces that count.
 	pieces int
@@ -130,8 +131,8 @@
 	return list
 }
 
-// candidates returns the jobs of lower classes than the given one that have not begun and whose end relieves a service, in the order in
-// which they give way.
+// candidates returns the jobs of less urgent classes than the given one that have not begun and whose end relieves a service, in the order in
+// which they are preempted.
 func (c *Coordinator) candidates(class int, list map[string]*excess) []*job {
 	var jobs []*job
 	for j := range c.jobs {
@@ -154,12 +155,13 @@
 	return false
 }
 
+// candidate returns what decides the order in which jobs are preempted.
 func (j *job) candidate() radishadmission.Candidate {
 	return radishadmission.Candidate{Class: j.class, Density: j.density, Due: j.plan.Due}
 }
 
-// giveWay ends a job that has not begun in favour of the plan.
-func (c *Coordinator) giveWay(j *job, p *Plan, now time.Time) {
+// preempt ends a job that has not begun in favour of the plan. Its caller is told when to retry.
+func (c *Coordinator) preempt(j *job, p *Plan, now time.Time) {
 	fields := []any{
 		"id", j.plan.CallID, "to", p.CallID, "to_priority", p.Urgency.Priority, "to_team", p.Urgency.Team,
 		"waited_ms", now.Sub(j.admittedAt).Milliseconds(),
