radishmemory, radishconn, radishrelay: make comments plain

Several comments were hard to read or figurative, and some unexported functions with conditions on their callers had none. Comments and one unexported name only; the behaviour is unchanged.

--- a/internal/radishconn/head.go
+++ b/internal/radishconn/head.go
@@ -16,7 +16,7 @@
 	// header that is forwarded is a copy.
 	headByteCost = 2
 	headLineCost = 256
-	// minHeadBytes is the lowest limit on the size of a head. It is twice what a configuration allows on ordinary days.
+	// minHeadBytes is the lowest limit on the size of a head. Configurations usually allow half of it.
 	minHeadBytes = 32 << 10
 	// readAheadBytes is what net/http may read beyond a head at once.
 	readAheadBytes = 4 << 10
@@ -25,7 +25,7 @@
 // ErrHeadTooLarge is the error of reading a head beyond the limit or without memory for it.
 var ErrHeadTooLarge = errors.New("head of the request is larger than the limit, or memory is short")
 
-// HeadListener accepts connections whose heads of requests count towards the account.
+// HeadListener accepts connections on which the head of each request (request line and header) counts towards the account.
 type HeadListener struct {
 	net.Listener
 	Account *radishmemory.Account
@@ -56,7 +56,7 @@
 	head      *radishmemory.Grant
 }
 
-// BeginHead is called when the connection waits for a request. It releases the head of the last one.
+// BeginHead must be called when the connection starts to wait for a request. It releases the memory of the last head.
 func (c *Conn) BeginHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -65,7 +65,7 @@
 	c.isHead, c.headBytes, c.head = true, 0, c.listener.Account.Open(host, c.CutOff)
 }
 
-// EndHead is called when the head of a request was read.
+// EndHead must be called when the head of a request has been read.
 func (c *Conn) EndHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/radishconn/limiter.go
+++ b/internal/radishconn/limiter.go
@@ -127,6 +127,7 @@
 	return false
 }
 
+// close closes an unused connection. The caller holds the lock.
 func (l *Limiter) close(c *conn) {
 	l.closed++
 	l.remove(c)
@@ -180,6 +181,7 @@
 	}
 }
 
+// sweep closes the connections that have been unused for too long.
 func (l *Limiter) sweep(now time.Time) {
 	headerTimeout, idleTimeout := l.HeaderTimeout(), l.IdleTimeout()
 	l.mu.Lock()
--- a/internal/radishmemory/account.go
+++ b/internal/radishmemory/account.go
@@ -12,13 +12,13 @@
 	SmallBytes = CallBytes + 64<<10
 	// reserveShare is the share of the budget that only the first SmallBytes of grants may use.
 	reserveShare = 0.25
-	// newShare is the share of the bytes for large grants from which on small grants may not become large, so that those that already
-	// are can be completed.
+	// newShare is the share of the bytes for large grants above which small grants may not become large. The rest is for grants that
+	// already are large, so that their calls can complete.
 	newShare = 0.9
 	// callerShare is the share of the bytes for large grants that one caller address may hold. It is below newShare, so that others can
 	// become large beside it. A load balancer may give all callers the same address; they then have this share together.
 	callerShare = 0.7
-	// stallTime is how long a grant has not grown when it counts as stalled. A body that arrives at 64 kB a second does not.
+	// stallTime is the time without growth after which a grant counts as stalled. A body that arrives at 64 kB a second does not stall.
 	stallTime = time.Second
 )
 
@@ -134,7 +134,8 @@
 	}
 }
 
-// Grow adds n bytes to the grant and reports whether they were granted. It withdraws other grants if that is how the budget is kept.
+// Grow adds n bytes to the grant and reports whether they were granted. It withdraws other grants
+// if the bytes do not fit into the budget otherwise.
 func (g *Grant) Grow(n int64, now time.Time) bool {
 	if g == nil {
 		return true
@@ -148,6 +149,7 @@
 	return ok
 }
 
+// grow adds n bytes to the grant if they fit, and returns the grants that it withdrew for that, whether or not it succeeded.
 func (a *Account) grow(g *Grant, n int64, now time.Time) (victims []*Grant, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -201,7 +203,7 @@
 		if now.Sub(v.grownAt) >= stallTime && (stalled == nil || v.grownAt.Before(stalled.grownAt)) {
 			stalled = v
 		}
-		if v.state == Receiving && largePart(v.held) > 0 && v.held < g.held && (smaller == nil || a.goesBefore(v, smaller)) {
+		if v.state == Receiving && largePart(v.held) > 0 && v.held < g.held && (smaller == nil || a.isEvictedBefore(v, smaller)) {
 			smaller = v
 		}
 	}
@@ -211,13 +213,15 @@
 	return smaller
 }
 
-func (a *Account) goesBefore(v, other *Grant) bool {
+// isEvictedBefore reports whether v is the better one of two large grants to withdraw.
+func (a *Account) isEvictedBefore(v, other *Grant) bool {
 	if x, y := a.largeByCaller[v.caller], a.largeByCaller[other.caller]; x != y {
 		return x > y
 	}
 	return v.held < other.held
 }
 
+// withdraw takes all bytes of the grant away. The caller must call its evict function without the lock.
 func (a *Account) withdraw(g *Grant) {
 	a.evicted++
 	g.isEvicted = true
--- a/internal/radishrelay/hedge.go
+++ b/internal/radishrelay/hedge.go
@@ -28,7 +28,7 @@
 	copyAnswered = "answered_first"
 )
 
-// mayCopy reports whether the attempt may be sent to two targets: the call may execute more than once, there is no other reason to send
+// mayCopy reports whether a copy of the attempt may be sent to a second target: the call may execute more than once, there is no other reason to send
 // it to one target only, and its caller has received nothing yet.
 func (e *exchange) mayCopy() bool {
 	return e.relay.Hedger != nil && e.route.IsIdempotent() && e.route.MaxAttempts > 1 && !e.isTrial && !e.responseStarted &&
--- a/internal/radishrelay/race.go
+++ b/internal/radishrelay/race.go
@@ -53,7 +53,7 @@
 type race struct {
 	e       *exchange
 	results chan legEnd
-	// over is closed once the race is decided.
+	// over is closed once the response to relay has been chosen.
 	over        chan struct{}
 	first, copy *leg
 }
