Mend faults found by reading the change

Cause: a declared length of 2^63-1 bytes overflowed and ended the call in a panic after it may have run; bad responses of a rollout's target were not merged when its responses grew too; a configuration that changed during admission, a duration of 0, a peer's pace of 0 and a team's name cut in a character were not expected; sent parts of a response stayed in memory. Change: each is bounded or checked.

--- a/internal/radishmemory/account.go
+++ b/internal/radishmemory/account.go
@@ -140,6 +140,9 @@
 	if g == nil {
 		return true
 	}
+	if n < 0 {
+		return false
+	}
 	victims, ok := g.account.grow(g, n, now)
 	for _, v := range victims {
 		if v.evict != nil {
--- a/internal/radishrelay/response.go
+++ b/internal/radishrelay/response.go
@@ -51,7 +51,7 @@
 	size := minBufferStep
 	if resp.ContentLength > 0 {
 		// One more byte than announced, since the end is noticed only after it.
-		size = int(min(resp.ContentLength+1, maxBufferStep))
+		size = int(min(resp.ContentLength, maxBufferStep-1)) + 1
 	}
 	for len(body) < maxBufferedBytes {
 		size = min(size, maxBufferedBytes-len(body))
--- a/internal/radishstage/admission.go
+++ b/internal/radishstage/admission.go
@@ -129,8 +129,9 @@
 func (c *Coordinator) withFullBatches(p *Plan, through int, needs []radishbatch.StageWork, now time.Time) time.Duration {
 	backlogs := c.serviceBacklogs(p, radishbatch.FirstClass, through, now)
 	for service, b := range backlogs {
-		if b.TimeOf(b.Demand.Total(), 0) > b.TypicalBatchTime {
-			b.TypicalBatchTime = fullCallTime(c.Batch(service))
+		// The configuration may have changed since the backlogs were determined.
+		if batch := c.Batch(service); batch != nil && b.TimeOf(b.Demand.Total(), 0) > b.TypicalBatchTime {
+			b.TypicalBatchTime = fullCallTime(batch)
 		}
 		backlogs[service] = b
 	}
--- a/pkg/radishadmission/urgency.go
+++ b/pkg/radishadmission/urgency.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"strings"
 	"time"
 
 	"radishramp.example/radishramp/pkg/radishbatch"
@@ -39,7 +40,7 @@
 	if math.IsNaN(u.Value) || math.IsInf(u.Value, 0) || u.Value < 0 {
 		u.Value = 0
 	}
-	u.Team = u.Team[:min(len(u.Team), maxTeamBytes)]
+	u.Team = strings.ToValidUTF8(u.Team[:min(len(u.Team), maxTeamBytes)], "")
 	return u
 }
 
--- a/pkg/radishfleet/usual_pace.go
+++ b/pkg/radishfleet/usual_pace.go
@@ -86,7 +86,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.targets {
-		if pace, ok := byKey[paceKey(s.target)]; ok {
+		if pace := byKey[paceKey(s.target)]; pace > 0 {
 			f.lowerUsualPace(s, pace)
 		}
 	}
--- a/pkg/radishfleet/usual_pace_test.go
+++ b/pkg/radishfleet/usual_pace_test.go
@@ -114,6 +114,10 @@
 			t.Errorf("engine %d: usual pace %.2f, want %.2f", i, got, want)
 		}
 	}
+	fleets[1].MergePaces([]TargetPace{{Key: paceKey(fleets[1].targets["e1"].target), Pace: 0}})
+	if fleets[1].PaceDigest() != fleets[0].PaceDigest() {
+		t.Error("a pace of zero was taken over")
+	}
 	fleets[0].Remove("e0")
 	if len(fleets[0].Paces()) != engines-1 || fleets[0].PaceDigest() == fleets[1].PaceDigest() {
 		t.Error("the pace of a removed engine is kept")
--- a/pkg/radishhedge/hedger.go
+++ b/pkg/radishhedge/hedger.go
@@ -48,6 +48,9 @@
 
 // Return gives back a copy that was taken and not sent.
 func (h *Hedger) Return(service string) {
+	if h == nil {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.limitOf(service).copies++
--- a/pkg/radishrollout/admission.go
+++ b/pkg/radishrollout/admission.go
@@ -105,6 +105,6 @@
 // slackByNow returns the part of the slack that is released by now: evenly over the observation, so that faults that begin later
 // are seen too.
 func (r *Rollout) slackByNow(now time.Time) float64 {
-	released := float64(r.age(now)) / (observeShare * float64(r.Order.Duration))
+	released := float64(r.age(now)) / max(1, observeShare*float64(r.Order.Duration))
 	return r.slackPart() * min(1, released)
 }
--- a/pkg/radishrollout/record.go
+++ b/pkg/radishrollout/record.go
@@ -134,7 +134,8 @@
 		return i < MaxTargets
 	}
 	known := &e.Targets[i]
-	return raise(&known.Responses, t.Responses) || raise(&known.Bad, t.Bad)
+	changed := raise(&known.Responses, t.Responses)
+	return raise(&known.Bad, t.Bad) || changed
 }
 
 // findTarget returns the index of the target in the sorted targets, or the one at which to insert it.
