--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -88,24 +88,26 @@
 	stabilityMs = 3000
 )
 
-// startVMs starts n entry VMs in one data centre and waits until all are ready.
+// startVMs starts n more entry VMs in one data centre and waits until all are ready. The first ones of all are the seeds.
 func startVMs(s *store, n int) []*vm {
 	dir, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		fatal("%v", err)
 	}
-	for i := range n {
+	first := len(vms)
+	for i := first; i < first+n; i++ {
 		vms = append(vms, &vm{name: fmt.Sprintf("front-%d", i+1), ip: newIP(), settings: filepath.Join(dir, fmt.Sprintf("boot-%d.conf", i+1))})
 	}
-	seeds := make([]string, 0, n)
+	seeds := make([]string, 0, len(vms))
 	for _, v := range vms {
 		seeds = append(seeds, v.ip+":"+controlPort)
 	}
-	for _, v := range vms {
+	added := vms[first:]
+	for _, v := range added {
 		text := strings.Join([]string{
 			"node_name=" + v.name, "role=entry", "machine_class=front", "serves=front,control", "ip=" + v.ip, "zone=z1", "region=r1", "zones.z1=r1",
 			"bind_addresses.front=" + v.ip + ":" + frontPort, "bind_addresses.ready=" + v.ip + ":" + readyPort,
-			"bind_addresses.control=" + v.ip + ":" + controlPort, "internal_port_range=7740,7755", "seeds=" + strings.Join(seeds[:min(3, n)], ","),
+			"bind_addresses.control=" + v.ip + ":" + controlPort, "internal_port_range=7740,7755", "seeds=" + strings.Join(seeds[:min(3, len(seeds))], ","),
 			"bootstrap=true", "in_tolerance=false", "limits.cpu_share=0.272", "limits.cpu_cores=1", fmt.Sprintf("limits.memory_mb=%d", memoryMB),
 			"limits.max_fds=2870", "limits.link_mbps=700.0", "limits.disk_mb=0", "discovery=platform", "entry=vip", "heartbeat_ms=1200",
 			"contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,places,platform,stages",
@@ -122,10 +124,10 @@
 		}
 		v.start()
 	}
-	for _, v := range vms {
+	for _, v := range added {
 		v.awaitReady()
 	}
-	return vms
+	return added
 }
 
 // start starts the process with the run line of the deploy file, in the repository's root.
@@ -269,7 +271,7 @@
 		os.Exit(exitNotRun)
 	}
 	record = file
-	cases := map[string]func(){"stop": caseStop, "lapse": caseLapse, "cold": caseCold, "evidence": caseEvidence}
+	cases := map[string]func(){"stop": caseStop, "lapse": caseLapse, "join": caseJoin, "evidence": caseEvidence}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fatal("there is no case %s", os.Args[1])
