--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -43,11 +43,17 @@
 
 var vms []*vm
 
-// finish ends all processes of the case.
+// folders are the temporary folders of the case, with the settings of the VMs.
+var folders []string
+
+// finish ends all processes of the case and removes its temporary folders.
 func finish(code int) {
 	for _, v := range vms {
 		v.kill()
 	}
+	for _, dir := range folders {
+		_ = os.RemoveAll(dir)
+	}
 	os.Exit(code)
 }
 
@@ -94,6 +100,7 @@
 	if err != nil {
 		fatal("%v", err)
 	}
+	folders = append(folders, dir)
 	first := len(vms)
 	for i := first; i < first+n; i++ {
 		vms = append(vms, &vm{name: fmt.Sprintf("front-%d", i+1), ip: newIP(), settings: filepath.Join(dir, fmt.Sprintf("boot-%d.conf", i+1))})
@@ -134,10 +141,6 @@
 func (v *vm) start() {
 	v.cmd = exec.Command("target/radishramp", "site")
 	v.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "RADISHRAMP_BOOT=" + v.settings}
-	if os.Getenv("VMLOG") != "" {
-		out, _ := os.OpenFile(v.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		v.cmd.Stdout, v.cmd.Stderr = out, out
-	}
 	if err := v.cmd.Start(); err != nil {
 		fatal("start: %v", err)
 	}
