--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -370,3 +370,38 @@
 		}
 	}
 }
+
+// TestSiteAnswersWaitingCallsAtItsEnd guards against a planned stop that closes the connections of calls that wait at a target without a
+// response. The target responds to none of the calls before the VM is to end.
+func TestSiteAnswersWaitingCallsAtItsEnd(t *testing.T) {
+	s := newSiteCluster(t)
+	s.settings = "bounds.grace_s=4\n"
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	for _, target := range append(s.plainTargets, s.engineTarget) {
+		target.SetInterceptor(func(http.ResponseWriter, *http.Request) bool {
+			<-release
+			return true
+		})
+	}
+	vm := s.startVM("vm-1")
+	if err := vm.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	// The calls end by themselves only after the VM has to end: the timeout of their routes is 3 and 5 seconds.
+	time.Sleep(1500 * time.Millisecond)
+	var wg sync.WaitGroup
+	for range 5 {
+		for path, headers := range map[string]map[string]string{"/plain/x": nil, "/stream/x": stagedHeaders} {
+			wg.Go(func() {
+				if status, body := s.call(vm, path, headers); status != http.StatusBadGateway {
+					t.Errorf("%s: got status %d, body %q, want %d", path, status, body, http.StatusBadGateway)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	if err := vm.cmd.Wait(); err != nil {
+		t.Errorf("entry VM exited with %v", err)
+	}
+}
--- a/internal/radishrelay/attempt.go
+++ b/internal/radishrelay/attempt.go
@@ -133,12 +133,12 @@
 }
 
 // outcomeWithoutResponse returns what an attempt without a complete response indicates about the target's health. It
-// is inconclusive when the caller disconnected, or when the attempt had less time than the route's latency objective.
+// is inconclusive when the caller disconnected, when the VM shuts down, or when the attempt had less time than the route's latency objective.
 func (e *exchange) outcomeWithoutResponse(ctx context.Context, unreachable bool) radishfleet.Outcome {
 	switch {
 	case ctx.Err() == nil:
 		return radishfleet.Outcome{Failed: true, Unreachable: unreachable, Cut: !unreachable}
-	case callerLeft(ctx) || e.attemptTimeout < e.route.LatencyObjective:
+	case callerLeft(ctx) || isStopping(ctx) || e.attemptTimeout < e.route.LatencyObjective:
 		return radishfleet.Outcome{Inconclusive: true}
 	default:
 		return radishfleet.Outcome{Failed: true}
--- a/internal/radishrelay/exchange.go
+++ b/internal/radishrelay/exchange.go
@@ -50,6 +50,8 @@
 	// lastEventID is the ID of the last event relayed to the caller.
 	lastEventID     string
 	responseStarted bool
+	// releaseStop lets the call go on when the relay ends calls without a response.
+	releaseStop func() bool
 	// stagesEndedAfter and responseStartedAfter are the times from receiving the call to the end of its stages and to
 	// the start of its response.
 	stagesEndedAfter     time.Duration
--- a/internal/radishrelay/forward.go
+++ b/internal/radishrelay/forward.go
@@ -108,6 +108,8 @@
 	switch {
 	case callerLeft(ctx):
 		e.abort(outcomeCallerLeft)
+	case isStopping(ctx) && e.possibleExecutions > 0:
+		e.refuse(radish.Refusal{Kind: radish.RefusalTargetFailed, Reason: errStopping.Error()})
 	case ctx.Err() != nil && e.possibleExecutions > 0:
 		e.refuse(radish.Refusal{Kind: radish.RefusalTimedOut, Reason: "no answer in time"})
 	case e.possibleExecutions > 0:
--- a/internal/radishrelay/input.go
+++ b/internal/radishrelay/input.go
@@ -55,19 +55,12 @@
 	if !e.hasStageWork() {
 		return nil
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go func() {
-		select {
-		case <-e.relay.stopSignal():
-			cancel(errStopping)
-		case <-ctx.Done():
-		}
-	}()
+	ctx, cancel, _ := withStop(ctx, &e.relay.stagesStopped)
+	defer cancel()
 	startedAt := time.Now()
 	stagePlan := e.stagePlan()
 	result, err := e.relay.Stages.Run(ctx, stagePlan)
-	if errors.Is(context.Cause(ctx), errStopping) {
+	if isStopping(ctx) {
 		err = errStopping
 	}
 	if errors.Is(err, radishstage.ErrFailed) && e.hasTimeForRerun() {
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -68,22 +66,8 @@
 	Metrics *radishmetric.Metrics
 	Log     hclog.Logger
 
-	probes             singleflight.Group
-	initOnce, stopOnce sync.Once
-	stopCh             chan struct{}
-}
-
-// errStopping reports that the VM is shutting down before the call's stages have finished.
-var errStopping = errors.New("this VM is about to end")
-
-// Stop makes the relay refuse calls whose stages have not finished. It is called shortly before the VM exits.
-func (r *Relay) Stop() {
-	r.stopOnce.Do(func() { close(r.stopSignal()) })
-}
-
-func (r *Relay) stopSignal() chan struct{} {
-	r.initOnce.Do(func() { r.stopCh = make(chan struct{}) })
-	return r.stopCh
+	probes                        singleflight.Group
+	stagesStopped, waitingStopped stopSignal
 }
 
 // Check implements radish.CallChecker.
@@ -111,6 +95,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
+	ctx, cancelStoppable, release := withStop(ctx, &r.waitingStopped)
+	defer cancelStoppable()
+	e.releaseStop = release
 	e.run(ctx)
 	e.finish()
 }
--- a/internal/radishrelay/response.go
+++ b/internal/radishrelay/response.go
@@ -84,6 +84,7 @@
 
 func (e *exchange) startResponse(resp *radish.TargetResponse) {
 	e.responseStarted = true
+	e.releaseStop()
 	e.responseStartedAfter = time.Since(e.call.ReceivedAt)
 	e.w.Begin(resp.Status, resp.Header)
 }
--- a/internal/radishrelay/stage_test.go
+++ b/internal/radishrelay/stage_test.go
@@ -186,7 +186,7 @@
 		relay.Stages = blockingStages{}
 		call := newCall()
 		call.Pieces = []int{1, 1}
-		time.AfterFunc(300*time.Millisecond, relay.Stop)
+		time.AfterFunc(300*time.Millisecond, relay.StopStages)
 		w := handle(t.Context(), relay, call)
 		if w.refusal == nil || w.refusal.Kind != radish.RefusalNotExecuted || w.endedAt.Sub(call.ReceivedAt) != 300*time.Millisecond {
 			t.Errorf("refusal %+v after %v", w.refusal, w.endedAt.Sub(call.ReceivedAt))
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -41,10 +41,11 @@
 	// shutdownAcceptTime is how long a VM that shuts down keeps accepting connections. The load balancer notices the
 	// failed readiness probe within about two checks.
 	shutdownAcceptTime = 3 * time.Second
-	// shutdownMargin is how long before the forced kill all requests must have ended. refuseMargin is how long before
-	// the kill calls that have not run yet are refused.
+	// shutdownMargin is how long before the forced kill all requests must have ended. waitingMargin is how long before the kill calls without
+	// a response are ended, and stageMargin how long before it calls are refused whose stages have not finished.
 	shutdownMargin = 300 * time.Millisecond
-	refuseMargin   = 1200 * time.Millisecond
+	waitingMargin  = 800 * time.Millisecond
+	stageMargin    = 1200 * time.Millisecond
 	// headerTimeout limits the time to read a request's header, and idleTimeout how long a caller's connection may stay idle. The
 	// configuration may set shorter times, never longer ones.
 	headerTimeout = 10 * time.Second
@@ -325,8 +326,10 @@
 	startedAt := time.Now()
 	s.Log.Info("leaving", "in_flight", s.inFlight.Load())
 	s.leaving.Store(true)
-	refuseTimer := time.AfterFunc(s.InitialSettings.ShutdownGrace-refuseMargin, s.relay.Stop)
-	defer refuseTimer.Stop()
+	stageTimer := time.AfterFunc(s.InitialSettings.ShutdownGrace-stageMargin, s.relay.StopStages)
+	defer stageTimer.Stop()
+	waitingTimer := time.AfterFunc(s.InitialSettings.ShutdownGrace-waitingMargin, s.relay.StopWaiting)
+	defer waitingTimer.Stop()
 	s.peers.announceLeaving(background)
 	if s.peers.hasAvailablePeers() {
 		for _, c := range s.allCoordinators() {
