--- a/internal/radishsite/loop.go
+++ b/internal/radishsite/loop.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/oklog/run"
@@ -13,9 +11,6 @@
 	"radishramp.example/radishramp/pkg/radish"
 )
 
-// saveRetryInterval is the average pause before the VM's own record is saved again after a failure.
-const saveRetryInterval = 500 * time.Millisecond
-
 // watchDelays is the delay between two store calls for each kind of record, so that one call returns several changes.
 // The order of a new version must be known before its targets have waited long enough to be served without one.
 // Configuration and target changes must be in force within two seconds, even if no checker can be reached.
@@ -62,25 +57,3 @@
 	}
 	s.peers.updateLinks()
 }
-
-// publishVMRecord saves the VM's own record in the store, where the other VMs discover it.
-func (s *Server) publishVMRecord(ctx context.Context) error {
-	value, err := json.Marshal(s.peers.self)
-	if err != nil {
-		return err
-	}
-	for {
-		err := s.Store.Save(ctx, radish.RecordVM, s.InitialSettings.VM, value)
-		if err == nil {
-			break
-		}
-		s.Log.Warn("cannot save this VM's record, retrying", "error", err.Error())
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(saveRetryInterval/2 + rand.N(saveRetryInterval)):
-		}
-	}
-	<-ctx.Done()
-	return ctx.Err()
-}
--- /dev/null
+++ b/internal/radishsite/membership.go
@@ -0,0 +1,122 @@
+package radishsite
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
+)
+
+const (
+	// saveRetryInterval is the average pause before the VM's own record is saved again after a failure.
+	saveRetryInterval = 500 * time.Millisecond
+	// vmListTimeout is how long a VM that starts waits for the list of VMs before it saves its record, and vmListPollInterval how often it
+	// looks.
+	vmListTimeout      = time.Second
+	vmListPollInterval = 20 * time.Millisecond
+	// vmListDelay is how long it may take until all VMs know of a VM that joins.
+	vmListDelay = 3 * time.Second
+	// joinedSpread spreads the writes of VMs that have joined at the same time.
+	joinedSpread = time.Second
+	// shareWindow is the time to which a limit per second applies, with the time that calls spend in transit.
+	shareWindow = 1200 * time.Millisecond
+)
+
+// membership is since when this VM may use its share of a limit that applies to all VMs together. What the VM's last process sent is not
+// known to this one, and the others divide the limit by a smaller number until they know of a VM that joins.
+type membership struct {
+	// startedAt is when this process started.
+	startedAt time.Time
+
+	mu sync.Mutex
+	// isKnown is whether the other VMs have known of this one since before the process started.
+	isKnown bool
+	// savedAt is when the record of a VM that joins was saved, the zero time before that.
+	savedAt time.Time
+}
+
+// holdsShare reports whether the VM may use its share of the limits per second.
+func (m *membership) holdsShare(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.startedAt) < shareWindow {
+		return false
+	}
+	return m.isKnown || !m.savedAt.IsZero() && now.Sub(m.savedAt) >= vmListDelay+shareWindow
+}
+
+func (m *membership) setKnown() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.isKnown = true
+}
+
+func (m *membership) setSaved(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.savedAt = at
+}
+
+// publishVMRecord saves the VM's own record in the store, where the other VMs discover it. A VM that the list of VMs lacks joins: its record says
+// so until all others know of it, so that a restart in between does not take it for a VM that the others have known.
+func (s *Server) publishVMRecord(ctx context.Context) error {
+	isKnown := s.peers.awaitOwnRecord(ctx)
+	if isKnown {
+		s.membership.setKnown()
+	}
+	record := s.peers.self
+	record.Joining = !isKnown
+	if err := s.saveVMRecord(ctx, record); err != nil {
+		return err
+	}
+	if record.Joining {
+		s.membership.setSaved(time.Now())
+		if !radish.Sleep(ctx, vmListDelay+shareWindow+rand.N(joinedSpread)) {
+			return ctx.Err()
+		}
+		record.Joining = false
+		if err := s.saveVMRecord(ctx, record); err != nil {
+			return err
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// saveVMRecord saves the record and tries again until it succeeds or ctx ends.
+func (s *Server) saveVMRecord(ctx context.Context, record radish.VMRecord) error {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	for {
+		err := s.Store.Save(ctx, radish.RecordVM, record.Name, value)
+		if err == nil {
+			s.Log.Info("VM record saved", "joining", record.Joining)
+			return nil
+		}
+		s.Log.Warn("cannot save this VM's record, retrying", "error", err.Error())
+		if !radish.Sleep(ctx, saveRetryInterval/2+rand.N(saveRetryInterval)) {
+			return ctx.Err()
+		}
+	}
+}
+
+// awaitOwnRecord waits for the list of VMs and reports whether this VM is in it and had joined before. Without a list in time, it had not.
+func (p *peerManager) awaitOwnRecord(ctx context.Context) bool {
+	for deadline := time.Now().Add(vmListTimeout); !p.hasVMList() && time.Now().Before(deadline); {
+		if !radish.Sleep(ctx, vmListPollInterval) {
+			return false
+		}
+	}
+	for _, r := range p.mirror.Records(radish.RecordVM) {
+		var vm radish.VMRecord
+		if r.Name == p.self.Name && json.Unmarshal(r.Value, &vm) == nil {
+			return !vm.Joining
+		}
+	}
+	return false
+}
--- a/internal/radishsite/quota.go
+++ b/internal/radishsite/quota.go
@@ -20,10 +20,10 @@
 const coldRateMargin = 0.8
 
 // coldQuota returns how many calls per second this VM may send to the cold target, as its share of the limit for all
-// VMs. It is 0 until the list of VMs is known.
+// VMs. It is 0 until the list of VMs is known and the VM holds its share.
 func (s *Server) coldQuota(t radish.Target) int {
 	cfg := s.state.config.Load()
-	if cfg == nil || cfg.Services[t.Service] == nil || !s.peers.hasVMList() {
+	if cfg == nil || cfg.Services[t.Service] == nil || !s.peers.hasVMList() || !s.membership.holdsShare(time.Now()) {
 		return 0
 	}
 	settings := s.currentSettings.Load()
--- a/internal/radishsite/quota_test.go
+++ b/internal/radishsite/quota_test.go
@@ -12,7 +12,7 @@
 	"radishramp.example/radishramp/pkg/radishroute"
 )
 
-// newQuotaServer returns a VM with limits that apply to all VMs together: 20 calls per second to a cold target, which is
+// newQuotaServer returns a VM that has run for long, with limits that apply to all VMs together: 20 calls per second to a cold target, which is
 // the service's rate of 10 times 1.5 plus 5, and a retry burst of 100.
 func newQuotaServer(name string) *Server {
 	state := newTestState()
@@ -21,6 +21,7 @@
 		Log:             hclog.NewNullLogger(), state: state,
 	}
 	s.currentSettings.Store(s.InitialSettings)
+	s.membership.setKnown()
 	s.peers = &peerManager{
 		self: radish.VMRecord{Name: name}, mirror: state.mirror, log: hclog.NewNullLogger(), node: &radishpeer.Node{},
 		seeds: func() []string { return nil },
@@ -29,6 +30,22 @@
 	return s
 }
 
+// setVMList gives the VM the list of the VMs vm-0 to vm-(n-1).
+func (s *Server) setVMList(t *testing.T, n int) {
+	t.Helper()
+	var records []radish.Record
+	for i := range n {
+		name := fmt.Sprint("vm-", i)
+		value, err := json.Marshal(radish.VMRecord{Name: name, Address: name})
+		if err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, radish.Record{Kind: radish.RecordVM, Name: name, Revision: int64(i + 1), Value: value})
+	}
+	s.peers.mirror.ApplyUpTo(radish.RecordVM, records, int64(n))
+	s.peers.updateLinks()
+}
+
 // TestReplayAllVMsStartWithoutVMList starts all VMs at once while the store is unreachable. A VM that has no list of
 // the VMs yet must not use the limits of a single VM, since all VMs together would exceed them many times over.
 func TestReplayAllVMsStartWithoutVMList(t *testing.T) {
@@ -50,17 +67,7 @@
 	cold, retries := 0, 0.0
 	for i := range vms {
 		s := newQuotaServer(fmt.Sprint("vm-", i))
-		var records []radish.Record
-		for n := range vms {
-			name := fmt.Sprint("vm-", n)
-			value, err := json.Marshal(radish.VMRecord{Name: name, Address: name})
-			if err != nil {
-				t.Fatal(err)
-			}
-			records = append(records, radish.Record{Kind: radish.RecordVM, Name: name, Revision: int64(n + 1), Value: value})
-		}
-		s.peers.mirror.ApplyUpTo(radish.RecordVM, records, vms)
-		s.peers.updateLinks()
+		s.setVMList(t, vms)
 		cold += s.coldQuota(radish.Target{Name: "t", Service: "s"})
 		retries += s.retryBurst()
 	}
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -81,6 +81,7 @@
 	Log        hclog.Logger
 
 	mirror          radishmirror.Mirror
+	membership      membership
 	fleet           *radishfleet.Fleet
 	quarantine      *radishquarantine.Quarantine
 	state           *clusterState
@@ -106,6 +107,7 @@
 		return err
 	}
 	s.applySettings(s.InitialSettings)
+	s.membership.startedAt = time.Now()
 	s.coordinators = make(map[[2]int]*radishstage.Coordinator)
 	s.fleet = &radishfleet.Fleet{DataCentre: s.InitialSettings.DataCentre, ColdQuota: s.coldQuota}
 	s.state = &clusterState{decoder: s.Decoder, mirror: &s.mirror, fleet: s.fleet, log: s.Log.Named("belief"), onChange: s.redispatchAll}
--- a/pkg/radish/record.go
+++ b/pkg/radish/record.go
@@ -58,4 +58,6 @@
 	Incarnation int64 `json:"incarnation"`
 	// Cores is the VM's CPU limit, in cores; 0 means unknown.
 	Cores float64 `json:"cores,omitempty"`
+	// Joining is whether some of the other VMs may not know of the VM yet.
+	Joining bool `json:"joining,omitempty"`
 }
