--- a/e2e/harmful_prompt_test.go
+++ b/e2e/harmful_prompt_test.go
@@ -117,9 +117,9 @@
 	})
 }
 
-// TestPromptPartCrashesEnginesOfAllVMs sends calls with a part of the prompt that crashes engines to three VMs in turn, beside sound
-// ones with the same team and first part.
-func TestPromptPartCrashesEnginesOfAllVMs(t *testing.T) {
+// newCrashingCluster returns a cluster with ten engines that crash, and counts what reaches them.
+func newCrashingCluster(t *testing.T) (*siteCluster, *crashes) {
+	t.Helper()
 	s := newSiteCluster(t)
 	s.store.Remove("servers", s.engineTarget.ID)
 	seen := &crashes{}
@@ -137,18 +137,38 @@
 		})
 		s.store.Put("servers", engine.target.ID, engine.target.Record("engine", "bandung", "ready"))
 	}
+	return s, seen
+}
+
+// callWithPart sends the call number i, whose prompt contains the harmful part.
+func (s *siteCluster) callWithPart(vm *siteVM, i int) {
+	s.t.Helper()
+	prompt := fmt.Sprintf("aa:80,b%d:20,%s:20,c%d:20", i%9, harmfulPart, i)
+	if status, body := s.call(vm, "/stream/x", map[string]string{"Model": "m", "Token-Usage": "140,40", "Prompt-Prefix": prompt}); status == http.StatusOK {
+		s.t.Errorf("call with the harmful part: got status %d, body %q", status, body)
+	}
+}
+
+// callWithoutPart sends a sound call with the same first parts and returns whether it was answered.
+func (s *siteCluster) callWithoutPart(vm *siteVM, i int) bool {
+	prompt := fmt.Sprintf("aa:80,b%d:20,d%d:20", i%9, i)
+	status, _ := s.call(vm, "/stream/x", map[string]string{"Model": "m", "Token-Usage": "120,40", "Prompt-Prefix": prompt})
+	return status == http.StatusOK
+}
+
+// TestPromptPartCrashesEnginesOfAllVMs sends calls with a part of the prompt that crashes engines to three VMs in turn, beside sound
+// ones with the same team and first part.
+func TestPromptPartCrashesEnginesOfAllVMs(t *testing.T) {
+	s, seen := newCrashingCluster(t)
 	vms := []*siteVM{s.startVM("vm-1"), s.startVM("vm-2"), s.startVM("vm-3")}
 	answered, sent := 0, 0
 	for i, startedAt := 0, time.Now(); time.Since(startedAt) < 4*stabilityWindow; i++ {
 		vm := vms[i%len(vms)]
-		prompt := fmt.Sprintf("aa:80,b%d:20,%s:20,c%d:20", i%9, harmfulPart, i)
-		if status, body := s.call(vm, "/stream/x", map[string]string{"Model": "m", "Token-Usage": "140,40", "Prompt-Prefix": prompt}); status == http.StatusOK {
-			t.Errorf("call with the harmful part: got status %d, body %q", status, body)
-		}
-		status, _ := s.call(vm, "/stream/x", map[string]string{"Model": "m", "Token-Usage": "120,40", "Prompt-Prefix": fmt.Sprintf("aa:80,b%d:20,d%d:20", i%9, i)})
+		s.callWithPart(vm, i)
+		isAnswered := s.callWithoutPart(vm, i)
 		if time.Since(startedAt) > 2*stabilityWindow {
 			sent++
-			if status == http.StatusOK {
+			if isAnswered {
 				answered++
 			}
 		}
@@ -161,3 +181,49 @@
 		t.Errorf("%d of %d sound calls were answered, want at least half", answered, sent)
 	}
 }
+
+// TestEvidenceOnPromptOutlastsKilledVMs kills all VMs at once, twice, while calls with a part that crashes engines arrive. It guards against VMs
+// that have lost what they knew of the part and let it crash engines anew.
+func TestEvidenceOnPromptOutlastsKilledVMs(t *testing.T) {
+	s, seen := newCrashingCluster(t)
+	vms := []*siteVM{s.startVM("vm-1"), s.startVM("vm-2"), s.startVM("vm-3")}
+	sound, answered := 0, 0
+	for round := range 3 {
+		for i := range 20 {
+			s.callWithPart(vms[i%len(vms)], 100*round+i)
+			if s.callWithoutPart(vms[i%len(vms)], 100*round+i) && i >= 10 {
+				answered++
+			}
+			if i >= 10 {
+				sound++
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if round == 2 {
+			break
+		}
+		for _, vm := range vms {
+			if err := vm.cmd.Process.Kill(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, vm := range vms {
+			_, _ = vm.cmd.Process.Wait()
+			s.startProcess(vm)
+		}
+		for _, vm := range vms {
+			if !vm.waitUntilReady(readyTimeout) {
+				t.Fatalf("%s was not ready within %v", vm.name, readyTimeout)
+			}
+		}
+		// Calls that come sooner after the kill are not limited.
+		time.Sleep(stabilityWindow)
+	}
+	if late := seen.lateArrivals(); late > maxHarmfulArrivals {
+		t.Errorf("%d calls with the part reached engines later than %v after the fifth of %d crashes, want at most %d", late, stabilityWindow, seen.count(), maxHarmfulArrivals)
+	}
+	if 2*answered < sound {
+		t.Errorf("%d of %d sound calls were answered, want at least half", answered, sound)
+	}
+	t.Logf("%d crashes, %d late arrivals, %d of %d sound calls answered", seen.count(), seen.lateArrivals(), answered, sound)
+}
--- a/internal/radishrelay/cut.go
+++ b/internal/radishrelay/cut.go
@@ -74,7 +74,7 @@
 	isDown := e.relay.isDown(t)
 	if isDown && e.attemptEvents < answeredEvents {
 		parts := sharedPromptIDs(e.call.Prompt)
-		if len(parts) > 0 && e.relay.Quarantine.RecordCrash(t.Name, e.service.Name, parts, time.Now()) {
+		if len(parts) > 0 && e.relay.Quarantine.RecordCrash(t, parts, time.Now()) {
 			e.relay.reportEvidence()
 		}
 	}
--- a/internal/radishrelay/hedge_test.go
+++ b/internal/radishrelay/hedge_test.go
@@ -224,7 +224,7 @@
 // of no use.
 func TestCallsThatMustNotBeCopied(t *testing.T) {
 	suspected := func(relay *Relay) {
-		relay.Quarantine.RecordCrash("t9", "s", []string{"p"}, time.Now())
+		relay.Quarantine.RecordCrash(radish.Target{Name: "t9", Service: "s"}, []string{"p"}, time.Now())
 	}
 	busy := func(relay *Relay) {
 		for i := range 5 {
--- a/internal/radishsite/cluster_state.go
+++ b/internal/radishsite/cluster_state.go
@@ -43,8 +43,10 @@
 	// onChange is called after targets or the configuration have changed.
 	onChange func()
 
-	// knowsOrders is whether the VM has had the list of orders, or has waited long enough for it.
-	knowsOrders atomic.Bool
+	// keepsEvidence is whether the store keeps evidence on prompts that crash targets.
+	keepsEvidence bool
+	// orders and evidence are the waits for the lists without which the VM must not serve.
+	orders, evidence listWait
 
 	config   atomic.Pointer[radishroute.Config]
 	configAt atomic.Pointer[time.Time]
@@ -53,8 +55,15 @@
 	storeUnreachable bool
 	storeChangedAt   time.Time
 	lastStoreFailure time.Time
-	// ordersAwaitedSince is when only the list of orders was missing.
-	ordersAwaitedSince time.Time
+}
+
+func newClusterState(
+	decoder Decoder, mirror *radishmirror.Mirror, fleet *radishfleet.Fleet, log hclog.Logger, onChange func(),
+) *clusterState {
+	return &clusterState{
+		decoder: decoder, mirror: mirror, fleet: fleet, log: log, onChange: onChange,
+		orders: listWait{name: "orders", max: maxOrdersWait, log: log}, evidence: listWait{name: "evidence on crashes", max: maxEvidenceWait, log: log},
+	}
 }
 
 // apply updates the state from changed records. source names their origin in log lines.
@@ -206,39 +215,40 @@
 	return c.storeUnreachable
 }
 
-// isSynced reports whether the VM has a configuration and the complete list of targets, which it needs to serve, and the list of orders
-// where they are in force.
+// isSynced reports whether the VM has a configuration and the complete list of targets, which it needs to serve, and the other lists without
+// which it must not serve.
 func (c *clusterState) isSynced() bool {
-	return c.config.Load() != nil && c.mirror.CompleteRevision(radish.RecordTarget) > 0 && (c.rollouts == nil || c.hasOrders(time.Now()))
+	now := time.Now()
+	return c.config.Load() != nil && c.mirror.CompleteRevision(radish.RecordTarget) > 0 && c.hasOrders(now) && c.hasEvidence(now)
 }
 
-// maxOrdersWait is how long a VM that lacks nothing else waits for the list of orders. A VM that serves without it is better than none.
-const maxOrdersWait = 3 * time.Second
+// maxOrdersWait and maxEvidenceWait are how long a VM that lacks nothing else waits for the list of orders and for the evidence on prompts
+// that crash targets.
+const (
+	maxOrdersWait   = 3 * time.Second
+	maxEvidenceWait = 2 * time.Second
+)
 
-// hasOrders reports whether the VM has the list of orders, and what its peers know of earlier ones, or has waited long enough for them.
+// hasOrders reports whether the VM has the list of orders, where they are in force, and what its peers know of earlier ones, or has waited
+// long enough for them.
 func (c *clusterState) hasOrders(now time.Time) bool {
-	if c.knowsOrders.Load() {
+	if c.rollouts == nil {
 		return true
 	}
-	hasOrders := c.mirror.CompleteRevision(radish.RecordRollout) > 0 && c.rollouts.knowsHistory()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ordersAwaitedSince.IsZero() {
-		c.ordersAwaitedSince = now
-	}
-	if waited := now.Sub(c.ordersAwaitedSince); hasOrders || waited > maxOrdersWait {
-		c.log.Info("orders known", "listed", hasOrders, "waited_ms", waited.Milliseconds())
-		c.knowsOrders.Store(true)
-	}
-	return c.knowsOrders.Load()
+	return c.orders.isOver(now, func() bool { return c.mirror.CompleteRevision(radish.RecordRollout) > 0 && c.rollouts.knowsHistory() })
+}
+
+// hasEvidence reports whether the VM has the evidence of the store, where it is kept, or has waited long enough for it.
+func (c *clusterState) hasEvidence(now time.Time) bool {
+	return !c.keepsEvidence || c.evidence.isOver(now, func() bool { return c.mirror.CompleteRevision(radish.RecordCrashEvidence) > 0 })
 }
 
 // servedConfig returns the configuration by which calls are served, or nil before there is one. A VM that does not know the orders yet must
-// not serve calls with all versions.
+// not serve calls with all versions, and one without the evidence must not send prompts that have crashed targets.
 func (c *clusterState) servedConfig() *radishroute.Config {
-	cfg := c.config.Load()
-	if cfg == nil || c.rollouts != nil && !c.hasOrders(time.Now()) {
-		return nil
+	now := time.Now()
+	if cfg := c.config.Load(); cfg != nil && c.hasOrders(now) && c.hasEvidence(now) {
+		return cfg
 	}
-	return cfg
+	return nil
 }
--- a/internal/radishsite/cluster_state_test.go
+++ b/internal/radishsite/cluster_state_test.go
@@ -46,11 +46,7 @@
 }
 
 func newTestState() *clusterState {
-	state := &clusterState{
-		decoder: fakeDecoder{}, mirror: &radishmirror.Mirror{}, fleet: &radishfleet.Fleet{DataCentre: "a"}, log: hclog.NewNullLogger(),
-	}
-	state.onChange = func() {}
-	return state
+	return newClusterState(fakeDecoder{}, &radishmirror.Mirror{}, &radishfleet.Fleet{DataCentre: "a"}, hclog.NewNullLogger(), func() {})
 }
 
 func (c *clusterState) applyRecords(records ...radish.Record) {
--- a/internal/radishsite/crash.go
+++ b/internal/radishsite/crash.go
@@ -15,11 +15,13 @@
 	return len(owners) > 0 && owners[0] == p.self.Name
 }
 
-func (p *peerManager) encodeCrashes() []*radishpeerpb.TargetCrash {
-	now := time.Now()
+// encodeCrashes encodes crashes for other VMs; their ages are counted from the given time.
+func encodeCrashes(crashes []radishquarantine.Crash, now time.Time) []*radishpeerpb.TargetCrash {
 	var encoded []*radishpeerpb.TargetCrash
-	for _, c := range p.quarantine.Crashes() {
-		m := &radishpeerpb.TargetCrash{Target: c.Target, Service: c.Service, AgeMs: uint32(min(now.Sub(c.At).Milliseconds(), math.MaxUint32))}
+	for _, c := range crashes {
+		m := &radishpeerpb.TargetCrash{
+			Target: c.Target, Service: c.Service, StartedUnixMs: c.StartedUnixMilli, AgeMs: uint32(min(now.Sub(c.At).Milliseconds(), math.MaxUint32)),
+		}
 		for _, part := range c.Parts {
 			m.Parts = append(m.Parts, &radishpeerpb.SuspectedPart{Id: part.ID, Known: part.Known, Cleared: part.Cleared})
 		}
@@ -28,22 +30,31 @@
 	return encoded
 }
 
-// mergeCrashes takes over the evidence of a peer and passes on what is new.
-func (p *peerManager) mergeCrashes(reports []*radishpeerpb.TargetCrash, peer string) {
-	if len(reports) == 0 {
-		return
-	}
-	now := time.Now()
+// decodeCrashes decodes crashes from another VM, no more than are kept.
+func decodeCrashes(reports []*radishpeerpb.TargetCrash, now time.Time) []radishquarantine.Crash {
 	crashes := make([]radishquarantine.Crash, 0, min(len(reports), radishquarantine.MaxCrashes))
 	for _, m := range reports[:cap(crashes)] {
-		c := radishquarantine.Crash{Target: m.GetTarget(), Service: m.GetService(), At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)}
+		c := radishquarantine.Crash{
+			Target: m.GetTarget(), Service: m.GetService(), StartedUnixMilli: m.GetStartedUnixMs(),
+			At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+		}
 		for _, part := range m.GetParts() {
 			c.Parts = append(c.Parts, radishquarantine.Part{ID: part.GetId(), Known: part.GetKnown(), Cleared: part.GetCleared()})
 		}
 		crashes = append(crashes, c)
 	}
+	return crashes
+}
+
+// mergeCrashes takes over evidence from the source, which is a peer or the store, and passes on what is new.
+func (p *peerManager) mergeCrashes(reports []*radishpeerpb.TargetCrash, source string) {
+	if len(reports) == 0 {
+		return
+	}
+	now := time.Now()
+	crashes := decodeCrashes(reports, now)
 	if p.quarantine.Merge(crashes, now) {
-		p.log.Info("crashes of targets reported by a peer", "peer", peer, "crashes", len(crashes))
+		p.log.Info("crashes of targets reported", "source", source, "crashes", len(crashes))
 		p.shareReports()
 	}
 }
--- a/internal/radishsite/crash_test.go
+++ b/internal/radishsite/crash_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
 	"radishramp.example/radishramp/pkg/radishquarantine"
 )
@@ -17,7 +18,7 @@
 		vms := startVMs(t, 30)
 		for i := range 3 {
 			vm := vms[i*7]
-			vm.quarantine.RecordCrash(fmt.Sprint("target-", i), "s", []string{"first", "harmful"}, time.Now())
+			vm.quarantine.RecordCrash(radish.Target{Name: fmt.Sprint("target-", i), Service: "s"}, []string{"first", "harmful"}, time.Now())
 			vm.shareReports()
 			time.Sleep(400 * time.Millisecond)
 		}
@@ -42,7 +43,7 @@
 	inBubble(t, func(t *testing.T) {
 		vms := startVMs(t, 5)
 		for i := range 3 {
-			vms[0].quarantine.RecordCrash(fmt.Sprint("target-", i), "s", []string{"harmful"}, time.Now())
+			vms[0].quarantine.RecordCrash(radish.Target{Name: fmt.Sprint("target-", i), Service: "s"}, []string{"harmful"}, time.Now())
 			time.Sleep(time.Second)
 		}
 		time.Sleep(2 * time.Second)
--- a/internal/radishsite/duty.go
+++ b/internal/radishsite/duty.go
@@ -59,14 +59,27 @@
 	return p.isSelected("check/"+string(kind), checkerCount)
 }
 
-// isSelected reports whether this VM is one of the n VMs that rendezvous hashing selects for the key. The candidates
-// are the available VMs, without peers that cannot reach the store.
+// isSelected reports whether this VM is one of the n VMs that rendezvous hashing selects for the key, of those that reach the store.
 func (p *peerManager) isSelected(key string, n int) bool {
+	return slices.Contains(radish.RendezvousOwners(p.storeVMs(), key, n), p.self.Name)
+}
+
+// storeVMs returns the available VMs without the peers that cannot reach the store.
+func (p *peerManager) storeVMs() []string {
 	names := p.availableVMs()
 	p.mu.Lock()
-	names = slices.DeleteFunc(names, func(name string) bool { return name != p.self.Name && p.storeUnreachable[name] })
-	p.mu.Unlock()
-	return slices.Contains(radish.RendezvousOwners(names, key, n), p.self.Name)
+	defer p.mu.Unlock()
+	return slices.DeleteFunc(names, func(name string) bool { return name != p.self.Name && p.storeUnreachable[name] })
+}
+
+// writerRank returns the number of VMs that write what belongs to the key before this one, of those that are available and reach the store.
+func (p *peerManager) writerRank(key string) int {
+	names := p.storeVMs()
+	owners := radish.RendezvousOwners(names, key, len(names))
+	if rank := slices.Index(owners, p.self.Name); rank >= 0 {
+		return rank
+	}
+	return len(owners)
 }
 
 // maxCores returns the largest CPU limit of all entry VMs, including this one, in cores.
--- a/internal/radishsite/gossip.go
+++ b/internal/radishsite/gossip.go
@@ -214,8 +214,11 @@
 	if len(changed) == 0 {
 		return
 	}
-	if changed[0].Kind == radish.RecordVM {
+	switch changed[0].Kind {
+	case radish.RecordVM:
 		p.updateLinks()
+	case radish.RecordCrashEvidence:
+		p.mergeCrashRecord()
 	}
 	p.state.apply(changed, source)
 	p.scheduleGossip()
--- a/internal/radishsite/loop.go
+++ b/internal/radishsite/loop.go
@@ -17,7 +17,7 @@
 var watchDelays = map[radish.RecordKind]time.Duration{
 	radish.RecordConfig: 500 * time.Millisecond, radish.RecordTarget: 1200 * time.Millisecond,
 	radish.RecordEvacuation: time.Second, radish.RecordVM: 2 * time.Second,
-	radish.RecordRollout: 300 * time.Millisecond,
+	radish.RecordRollout: 300 * time.Millisecond, radish.RecordCrashEvidence: time.Second,
 }
 
 // checkerWatchDelay is the shorter delay of checkers, from which the other VMs get changes first.
@@ -27,7 +27,7 @@
 var relistIntervals = map[radish.RecordKind]time.Duration{
 	radish.RecordConfig: time.Second, radish.RecordTarget: time.Second,
 	radish.RecordEvacuation: 2 * time.Second, radish.RecordVM: 5 * time.Second,
-	radish.RecordRollout: time.Second,
+	radish.RecordRollout: time.Second, radish.RecordCrashEvidence: 10 * time.Second,
 }
 
 func (s *Server) addBackgroundLoops(background context.Context, group *run.Group) {
@@ -48,6 +48,7 @@
 	add(s.peers.router.ProbeSilentPeers)
 	add(s.publishVMRecord)
 	add(s.watchSettings)
+	add((&crashWriter{peers: s.peers, store: s.Store, log: s.Log.Named("crash")}).Run)
 	if s.rollouts != nil {
 		reporter := &rolloutReporter{
 			manager: s.rollouts, peers: s.peers, store: s.RolloutStore, records: s.Store, onChange: s.redispatchAll, oldResults: s.resultsOfOthers,
--- a/internal/radishsite/report.go
+++ b/internal/radishsite/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"time"
 
 	"radishramp.example/radishramp/pkg/radishfleet"
 	"radishramp.example/radishramp/pkg/radishpeer/radishpeerpb"
@@ -19,7 +20,7 @@
 
 // addReports adds this VM's reports on targets to a heartbeat.
 func (p *peerManager) addReports(h *radishpeerpb.SiteHeartbeat) {
-	h.Crashes = p.encodeCrashes()
+	h.Crashes = encodeCrashes(p.quarantine.Crashes(), time.Now())
 	h.LeavingTargets = p.encodeLeaving()
 	p.addPaces(h)
 }
--- a/internal/radishsite/rollout_status.go
+++ b/internal/radishsite/rollout_status.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -152,26 +151,12 @@
 		r.peers.pushEvidence(ctx)
 	}
 	for _, o := range orders {
-		if order, status, ok := r.manager.beginWrite(o.Service, r.peers.writerRank(o.Service), now); ok {
+		if order, status, ok := r.manager.beginWrite(o.Service, r.peers.writerRank("rollout/"+o.Service), now); ok {
 			go r.write(ctx, order, status)
 		}
 	}
 }
 
-// writerRank returns the number of VMs that write the status of the service's order before this one, of those that are available and reach
-// the store.
-func (p *peerManager) writerRank(service string) int {
-	names := p.availableVMs()
-	p.mu.Lock()
-	names = slices.DeleteFunc(names, func(name string) bool { return name != p.self.Name && p.storeUnreachable[name] })
-	p.mu.Unlock()
-	owners := radish.RendezvousOwners(names, "rollout/"+service, len(names))
-	if rank := slices.Index(owners, p.self.Name); rank >= 0 {
-		return rank
-	}
-	return len(owners)
-}
-
 // write writes a status on the revision that this VM knows. What the store holds after that applies, whoever wrote it.
 func (r *rolloutReporter) write(ctx context.Context, order radish.RolloutOrder, status radish.RolloutStatus) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -110,7 +110,8 @@
 	s.membership.startedAt = time.Now()
 	s.coordinators = make(map[[2]int]*radishstage.Coordinator)
 	s.fleet = &radishfleet.Fleet{DataCentre: s.InitialSettings.DataCentre, ColdQuota: s.coldQuota}
-	s.state = &clusterState{decoder: s.Decoder, mirror: &s.mirror, fleet: s.fleet, log: s.Log.Named("belief"), onChange: s.redispatchAll}
+	s.state = newClusterState(s.Decoder, &s.mirror, s.fleet, s.Log.Named("belief"), s.redispatchAll)
+	s.state.keepsEvidence = true
 	s.quarantine = &radishquarantine.Quarantine{IsTrialVM: func(group string) bool { return s.peers.isTrialVM(group) }}
 	self := radish.VMRecord{
 		Name: s.InitialSettings.VM, Address: s.InitialSettings.PeerAddress, DataCentre: s.InitialSettings.DataCentre,
--- a/pkg/radish/record.go
+++ b/pkg/radish/record.go
@@ -20,11 +20,13 @@
 	RecordEvacuation RecordKind = "evacuation"
 	RecordVM         RecordKind = "vm"
 	RecordRollout    RecordKind = "rollout"
+	// RecordCrashEvidence is the evidence on prompts that crash targets.
+	RecordCrashEvidence RecordKind = "crash_evidence"
 )
 
 // RecordKinds lists the kinds of records that every entry VM watches. Where the settings limit the exposure of versions, it watches
 // [RecordRollout] too.
-var RecordKinds = []RecordKind{RecordConfig, RecordTarget, RecordEvacuation, RecordVM}
+var RecordKinds = []RecordKind{RecordConfig, RecordTarget, RecordEvacuation, RecordVM, RecordCrashEvidence}
 
 // Record is an object of the platform's store with its value still encoded.
 type Record struct {
--- a/pkg/radishquarantine/crash.go
+++ b/pkg/radishquarantine/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -30,7 +31,9 @@
 type Crash struct {
 	Target  string
 	Service string
-	At      time.Time
+	// StartedUnixMilli is when the target had started, which identifies the crash; 0 means unknown.
+	StartedUnixMilli int64
+	At               time.Time
 	// Parts are the parts of the prompts of the calls that were cut before their responses were under way.
 	Parts []Part
 }
@@ -46,10 +49,11 @@
 
 // crashRecord is the evidence on one crash.
 type crashRecord struct {
-	target  string
-	service string
-	at      time.Time
-	parts   map[string]*Part
+	target           string
+	service          string
+	startedUnixMilli int64
+	at               time.Time
+	parts            map[string]*Part
 }
 
 // add merges a part into the record and reports whether it was new.
@@ -79,15 +83,27 @@
 		if p.Cleared {
 			flags += "c"
 		}
-		sum += radish.RendezvousScore(c.target, strings.Join([]string{c.service, id, flags}, "\x00"))
+		sum += radish.RendezvousScore(c.target, strings.Join([]string{c.service, strconv.FormatInt(c.startedUnixMilli, 10), id, flags}, "\x00"))
 	}
 	return sum
 }
 
-func (c *crashRecord) export() Crash {
-	exported := Crash{Target: c.target, Service: c.service, At: c.at}
+// isSame reports whether the report is about this crash. A target crashes once in its life; where its start is not known or not the newest,
+// the time decides.
+func (c *crashRecord) isSame(crash *Crash) bool {
+	if c.target != crash.Target {
+		return false
+	}
+	return c.startedUnixMilli != 0 && c.startedUnixMilli == crash.StartedUnixMilli || c.at.Sub(crash.At).Abs() < sameCrashWindow
+}
+
+// export returns the crash with the parts for which the filter holds.
+func (c *crashRecord) export(filter func(p *Part) bool) Crash {
+	exported := Crash{Target: c.target, Service: c.service, StartedUnixMilli: c.startedUnixMilli, At: c.at}
 	for _, p := range c.parts {
-		exported.Parts = append(exported.Parts, *p)
+		if filter(p) {
+			exported.Parts = append(exported.Parts, *p)
+		}
 	}
 	slices.SortFunc(exported.Parts, func(a, b Part) int { return strings.Compare(a.ID, b.ID) })
 	return exported
--- a/pkg/radishquarantine/quarantine.go
+++ b/pkg/radishquarantine/quarantine.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
 )
 
 const (
@@ -59,10 +61,10 @@
 	RetryAfter time.Duration
 }
 
-// RecordCrash records that a target of the service ended and cut a call with the parts before its response was under way. It
-// reports whether this is new evidence.
-func (q *Quarantine) RecordCrash(target, service string, parts []string, now time.Time) bool {
-	crash := Crash{Target: target, Service: service, At: now}
+// RecordCrash records that the target ended and cut a call with the parts before its response was under way. It reports whether this is
+// new evidence.
+func (q *Quarantine) RecordCrash(t radish.Target, parts []string, now time.Time) bool {
+	crash := Crash{Target: t.Name, Service: t.Service, StartedUnixMilli: t.StartedUnixMilli, At: now}
 	for _, id := range parts {
 		crash.Parts = append(crash.Parts, Part{ID: id})
 	}
@@ -91,12 +93,17 @@
 		if len(q.crashes) >= MaxCrashes {
 			return false
 		}
-		record = &crashRecord{target: crash.Target, service: crash.Service, at: crash.At, parts: make(map[string]*Part)}
+		record = &crashRecord{
+			target: crash.Target, service: crash.Service, startedUnixMilli: crash.StartedUnixMilli, at: crash.At, parts: make(map[string]*Part),
+		}
 		q.crashes = append(q.crashes, record)
 	}
 	if crash.At.Before(record.at) {
 		record.at = crash.At
 	}
+	if crash.StartedUnixMilli > record.startedUnixMilli {
+		record.startedUnixMilli, isNew = crash.StartedUnixMilli, true
+	}
 	for _, p := range crash.Parts {
 		answeredAt, ok := q.answeredAt[servicePart{crash.Service, p.ID}]
 		if ok && answeredAt.After(record.at) {
@@ -114,7 +121,7 @@
 // find returns the record of the crash, or nil if there is none.
 func (q *Quarantine) find(crash *Crash) *crashRecord {
 	for _, record := range q.crashes {
-		if record.target == crash.Target && record.at.Sub(crash.At).Abs() < sameCrashWindow {
+		if record.isSame(crash) {
 			return record
 		}
 	}
@@ -179,7 +186,7 @@
 	defer q.mu.Unlock()
 	exported := make([]Crash, len(q.crashes))
 	for i, c := range q.crashes {
-		exported[i] = c.export()
+		exported[i] = c.export(func(*Part) bool { return true })
 	}
 	return exported
 }
--- a/pkg/radishquarantine/quarantine_test.go
+++ b/pkg/radishquarantine/quarantine_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"radishramp.example/radishramp/pkg/radish"
 )
 
 var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -19,7 +21,7 @@
 func replay(q *Quarantine, crashes ...[]string) (end time.Time) {
 	now := testStart
 	for i, parts := range crashes {
-		q.RecordCrash(fmt.Sprint("target-", i), "s", parts, now)
+		q.RecordCrash(radish.Target{Name: fmt.Sprint("target-", i), Service: "s"}, parts, now)
 		now = now.Add(time.Second)
 	}
 	return now
@@ -64,8 +66,8 @@
 	q := &Quarantine{}
 	now := testStart
 	for i := range 6 {
-		q.RecordCrash(fmt.Sprint("target-", i), "s", []string{"first", "subject", "harmful"}, now)
-		q.RecordCrash(fmt.Sprint("target-", i), "s", []string{"first", "subject"}, now)
+		q.RecordCrash(radish.Target{Name: fmt.Sprint("target-", i), Service: "s"}, []string{"first", "subject", "harmful"}, now)
+		q.RecordCrash(radish.Target{Name: fmt.Sprint("target-", i), Service: "s"}, []string{"first", "subject"}, now)
 		q.RecordAnswer("s", []string{"first", "subject"}, now.Add(500*time.Millisecond))
 		now = now.Add(time.Second)
 	}
@@ -83,7 +85,7 @@
 	for failure := range 2 {
 		for i := range 20 {
 			now := after(time.Duration(failure)*10*time.Second + time.Duration(i)*10*time.Millisecond)
-			q.RecordCrash(fmt.Sprint("target-", i), "s", []string{"first", "subject"}, now)
+			q.RecordCrash(radish.Target{Name: fmt.Sprint("target-", i), Service: "s"}, []string{"first", "subject"}, now)
 		}
 	}
 	if got := groupKeys(q, after(20*time.Second)); len(got) > 0 {
@@ -102,7 +104,7 @@
 	if got := groupKeys(q, end); len(got) > 0 {
 		t.Errorf("quarantined %v after %d crashes", got, len(crashes))
 	}
-	q.RecordCrash("last", "s", []string{"first"}, end)
+	q.RecordCrash(radish.Target{Name: "last", Service: "s"}, []string{"first"}, end)
 	if got := groupKeys(q, end); !slices.Equal(got, []string{"first"}) {
 		t.Errorf("quarantined %v after %d crashes", got, len(crashes)+1)
 	}
@@ -131,7 +133,7 @@
 			t.Errorf("call with %s: verdict %v", part, d.Verdict)
 		}
 	}
-	q.RecordCrash("next", "s", []string{"harmful"}, end)
+	q.RecordCrash(radish.Target{Name: "next", Service: "s"}, []string{"harmful"}, end)
 	if d := q.Check([]string{"harmful"}, end); d.Verdict != Refused {
 		t.Errorf("harmful call: verdict %v", d.Verdict)
 	}
@@ -163,7 +165,7 @@
 	}
 	check(trial, Once)
 	check(trial.Add(time.Second), Refused)
-	q.RecordCrash("trial", "s", []string{"p"}, trial.Add(2*time.Second))
+	q.RecordCrash(radish.Target{Name: "trial", Service: "s"}, []string{"p"}, trial.Add(2*time.Second))
 	check(trial.Add(2*time.Second+2*firstTrialDelay-time.Millisecond), Refused)
 	second := trial.Add(2*time.Second + 2*firstTrialDelay)
 	check(second, Once)
@@ -202,7 +204,7 @@
 		}
 	}
 	for i := range 3 * MaxCrashes {
-		q.RecordCrash(fmt.Sprint("target-", i), "s", []string{"p"}, after(time.Duration(i)*time.Second))
+		q.RecordCrash(radish.Target{Name: fmt.Sprint("target-", i), Service: "s"}, []string{"p"}, after(time.Duration(i)*time.Second))
 	}
 	if n := len(q.Crashes()); n > MaxCrashes {
 		t.Errorf("%d crashes are kept, want at most %d", n, MaxCrashes)
--- a/pkg/radishquarantine/suspect.go
+++ b/pkg/radishquarantine/suspect.go
@@ -55,9 +55,7 @@
 // findGroups returns the parts to quarantine. A crash that contains the parts of a group is explained by it and is no evidence
 // against other parts, which are mostly those of calls that were in flight at the same targets.
 func findGroups(crashes []*crashRecord) []Group {
-	slices.SortFunc(crashes, func(a, b *crashRecord) int {
-		return cmp.Or(a.at.Compare(b.at), strings.Compare(a.target, b.target))
-	})
+	sortByTime(crashes)
 	periods := simultaneousPeriods(crashes)
 	explained := make([]bool, len(crashes))
 	var groups []Group
@@ -81,6 +79,12 @@
 	}
 }
 
+func sortByTime(crashes []*crashRecord) {
+	slices.SortFunc(crashes, func(a, b *crashRecord) int {
+		return cmp.Or(a.at.Compare(b.at), strings.Compare(a.target, b.target))
+	})
+}
+
 // simultaneousPeriods numbers the crashes, which are sorted by time, so that simultaneous ones have the same number.
 func simultaneousPeriods(crashes []*crashRecord) []int {
 	periods := make([]int, len(crashes))
--- a/pkg/radishquarantine/suspicion_test.go
+++ b/pkg/radishquarantine/suspicion_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
 )
 
 // TestPartsOfFirstCrashAreSuspected guards against a call that is sent to two targets at once although a target has ended under its prompt.
@@ -13,7 +15,7 @@
 		t.Error("suspected without a crash")
 	}
 	q.RecordAnswer("s", []string{"known"}, now)
-	q.RecordCrash("t1", "s", []string{"a", "known"}, now.Add(time.Second))
+	q.RecordCrash(radish.Target{Name: "t1", Service: "s"}, []string{"a", "known"}, now.Add(time.Second))
 	now = now.Add(2 * time.Second)
 	if !q.IsSuspected("s", []string{"x", "a"}, now) {
 		t.Error("part of a crash is not suspected")
