--- a/internal/radishsite/crash_evidence_test.go
+++ b/internal/radishsite/crash_evidence_test.go
@@ -53,6 +53,27 @@
 	vm.applyChanges(vm.mirror.Replace(radish.RecordCrashEvidence, records, revision), "store")
 }
 
+// writeCount returns the number of writes so far.
+func (s *evidenceStore) writeCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
+// setAway makes writes fail, or ends that.
+func (s *evidenceStore) setAway(isAway bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isAway = isAway
+}
+
+// listing returns what a list of the evidence contains, and its revision.
+func (s *evidenceStore) listing() ([]radish.Record, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records, s.revision
+}
+
 // startVMs starts VMs that follow the store and write to it, and that know nothing else. It returns what ends all of them at once.
 func (s *evidenceStore) startVMs(t *testing.T, n int) (stop func()) {
 	network := &pipeNetwork{listeners: make(map[string]chan net.Conn)}
@@ -60,7 +81,7 @@
 	vms := newListedVMs(t, network, n)
 	for _, vm := range vms {
 		vm.start(ctx)
-		vm.list(s.records, s.revision)
+		vm.list(s.listing())
 		go func() { _ = (&crashWriter{peers: vm.peerManager, store: s, log: hclog.NewNullLogger()}).Run(ctx) }()
 	}
 	s.mu.Lock()
@@ -89,7 +110,7 @@
 	inBubble(t, func(t *testing.T) {
 		store := &evidenceStore{revision: 1}
 		stop := store.startVMs(t, 4)
-		store.isAway = true
+		store.setAway(true)
 		for i := range 3 {
 			store.vms[i].quarantine.RecordCrash(crashTarget(i), []string{"first", "harmful"}, time.Now())
 			store.vms[i].shareReports()
@@ -98,10 +119,10 @@
 		store.vms[3].quarantine.RecordAnswer("s", []string{"first"}, time.Now())
 		store.vms[3].shareReports()
 		time.Sleep(3 * time.Second)
-		store.isAway = false
+		store.setAway(false)
 		time.Sleep(3 * time.Second)
 		for round := range 3 {
-			writes := store.writes
+			writes := store.writeCount()
 			stop()
 			stop = store.startVMs(t, 4)
 			for _, vm := range store.vms {
@@ -113,13 +134,13 @@
 				}
 			}
 			time.Sleep(5 * time.Second)
-			if store.writes != writes {
-				t.Errorf("round %d: %d writes without new evidence", round, store.writes-writes)
+			if n := store.writeCount() - writes; n != 0 {
+				t.Errorf("round %d: %d writes without new evidence", round, n)
 			}
 		}
 		stop()
-		if store.writes > 4 {
-			t.Errorf("%d writes for three crashes", store.writes)
+		if n := store.writeCount(); n > 4 {
+			t.Errorf("%d writes for three crashes", n)
 		}
 	})
 }
@@ -145,7 +166,7 @@
 			time.Sleep(5 * time.Second)
 			vm := store.vms[7]
 			stored := decodeCrashes(vm.decodeCrashRecord(vm.crashRecord()), time.Now())
-			if n := store.writes - writes; len(stored) != 3 || n < 1 || n > 2 {
+			if n := store.writeCount() - writes; len(stored) != 3 || n < 1 || n > 2 {
 				t.Errorf("%s: the store has %d crashes after %d writes, want 3 after one or two", value, len(stored), n)
 			}
 		}
