--- a/internal/radishrelay/cut.go
+++ b/internal/radishrelay/cut.go
@@ -19,7 +19,7 @@
 
 // checkQuarantine decides whether the call may be sent; if it returns false, the call must be refused.
 func (e *exchange) checkQuarantine() (radish.Refusal, bool) {
-	parts := sharedPromptIDs(e.call.Prompt)
+	parts := suspectPartIDs(e.call.Prompt)
 	if e.isTrial || len(parts) == 0 {
 		return radish.Refusal{}, true
 	}
@@ -45,7 +45,7 @@
 
 // checkKnownCrash decides whether a call whose body was not read yet can be refused since its prompt crashes targets. It takes no trial.
 func (e *exchange) checkKnownCrash() (radish.Refusal, bool) {
-	parts := sharedPromptIDs(e.call.Prompt)
+	parts := suspectPartIDs(e.call.Prompt)
 	if len(parts) == 0 {
 		return radish.Refusal{}, true
 	}
@@ -57,7 +57,7 @@
 
 // recordAnswer records that a target responds to the call, which clears the parts of its prompt.
 func (e *exchange) recordAnswer() {
-	if e.relay.Quarantine.RecordAnswer(e.service.Name, sharedPromptIDs(e.call.Prompt), time.Now()) {
+	if e.relay.Quarantine.RecordAnswer(e.service.Name, suspectPartIDs(e.call.Prompt), time.Now()) {
 		e.relay.reportEvidence()
 	}
 }
@@ -73,7 +73,7 @@
 func (e *exchange) recordCutAttempt(t radish.Target) bool {
 	isDown := e.relay.isDown(t)
 	if isDown && e.attemptEvents < answeredEvents {
-		parts := sharedPromptIDs(e.call.Prompt)
+		parts := suspectPartIDs(e.call.Prompt)
 		if len(parts) > 0 && e.relay.Quarantine.RecordCrash(t, parts, time.Now()) {
 			e.relay.reportEvidence()
 		}
@@ -113,8 +113,8 @@
 	return ids
 }
 
-// sharedPromptIDs returns the IDs of the parts of a prompt but the last, which belongs to the call itself, and but empty ones.
-func sharedPromptIDs(prompt []radish.PromptPart) []string {
-	ids := promptIDs(prompt[:max(0, len(prompt)-1)])
-	return slices.DeleteFunc(ids, func(id string) bool { return id == "" })
+// suspectPartIDs returns the IDs of the parts of a prompt that are compared with those of other cut calls, which are all but empty ones. The last
+// part belongs to the call itself, or to its session, and comes again when the caller repeats it.
+func suspectPartIDs(prompt []radish.PromptPart) []string {
+	return slices.DeleteFunc(promptIDs(prompt), func(id string) bool { return id == "" })
 }
--- a/internal/radishrelay/harmful_prompt_test.go
+++ b/internal/radishrelay/harmful_prompt_test.go
@@ -80,3 +80,33 @@
 		}
 	})
 }
+
+// TestOwnPartOfPromptCrashesTargets guards against a request that is sent again and again and crashes targets each time, though all parts of its
+// prompt but the last are those of sound calls.
+func TestOwnPartOfPromptCrashesTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := &harmfulTargets{}
+		relay, _ := newRelay(&radishroute.Route{Kind: radishroute.KindStream, IsResumable: true, MaxAttempts: 2}, targets.respond)
+		relay.Prober = fakeProber(func(string) bool { return true })
+		unanswered := 0
+		for i := range 60 {
+			call := newCall()
+			call.Prompt = promptOf("first", "subject", "harmful")
+			if w := handle(t.Context(), relay, call); w.status == http.StatusOK {
+				t.Errorf("harmful call %d: status %d", i, w.status)
+			}
+			call = newCall()
+			call.Prompt = promptOf("first", "subject", fmt.Sprint("own-", i))
+			if w := handle(t.Context(), relay, call); w.status != http.StatusOK {
+				unanswered++
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if late := targets.countLate(); late > maxHarmfulArrivals {
+			t.Errorf("%d of %d crashes came later than %v after the fifth, want at most %d", late, len(targets.crashedAt), harmfulGrace, maxHarmfulArrivals)
+		}
+		if unanswered > 0 {
+			t.Errorf("%d of 60 sound calls were not answered", unanswered)
+		}
+	})
+}
--- a/internal/radishrelay/hedge.go
+++ b/internal/radishrelay/hedge.go
@@ -70,7 +70,7 @@
 func (e *exchange) pickCopyTarget(first *leg, estimate radishhedge.Estimate, now time.Time) (target radish.Target, denial string) {
 	service := e.service.Name
 	switch {
-	case e.relay.Quarantine.IsSuspected(service, sharedPromptIDs(e.call.Prompt), now):
+	case e.relay.Quarantine.IsSuspected(service, suspectPartIDs(e.call.Prompt), now):
 		return target, copyDeniedSuspected
 	case !estimate.IsWorthwhile(now, e.deadline):
 		return target, copyDeniedTime
--- a/pkg/radishquarantine/quarantine.go
+++ b/pkg/radishquarantine/quarantine.go
@@ -12,7 +12,7 @@
 	// knownDuration is how long after an answered call its parts count as known.
 	knownDuration = time.Minute
 	// maxKnownParts limits the parts that are remembered as known.
-	maxKnownParts = 4096
+	maxKnownParts = 16384
 	// reviewInterval is how often the groups are determined anew without new evidence, since old evidence expires.
 	reviewInterval = time.Second
 )
