--- a/internal/radishsite/cluster_state.go
+++ b/internal/radishsite/cluster_state.go
@@ -14,7 +14,9 @@
 )
 
 const (
-	// outageWindow is how long after a failed store call the removal of a target's record is attributed to the outage.
+	// minOutage is how long no call to the store must have succeeded for that to count as an outage, in which records of targets may expire.
+	minOutage = time.Second
+	// outageWindow is how long after an outage of the store the removal of a target's record is attributed to the outage.
 	outageWindow = 2 * time.Second
 	// lapsedRecordGrace is how long a target stays in use after its record expired during an outage, so that a running
 	// target can write it again.
@@ -54,7 +56,10 @@
 	mu               sync.Mutex
 	storeUnreachable bool
 	storeChangedAt   time.Time
-	lastStoreFailure time.Time
+	// lastStoreSuccess is when a call to the store succeeded; failingSince is since when none has, the zero time if the last one did.
+	lastStoreSuccess, failingSince time.Time
+	// outageEndedAt is the end of the last outage of the store.
+	outageEndedAt time.Time
 }
 
 func newClusterState(
@@ -124,13 +129,10 @@
 	}
 }
 
-// removeTarget removes a target at once. If the store was unreachable shortly before, it removes the target after a
-// grace period unless its record has reappeared.
+// removeTarget removes a target at once. If there was an outage of the store shortly before, it removes the target after a grace period unless
+// its record has reappeared.
 func (c *clusterState) removeTarget(r radish.Record, source string) {
-	c.mu.Lock()
-	wasUnreachable := time.Since(c.lastStoreFailure) < outageWindow
-	c.mu.Unlock()
-	if !wasUnreachable {
+	if !c.wasStoreAway(time.Now()) {
 		c.fleet.Remove(r.Name)
 		c.log.Info("target gone", "target", r.Name, "revision", r.Revision, "source", source)
 		return
@@ -188,13 +190,22 @@
 	return 0
 }
 
-// recordStoreCall records whether a call to the store succeeded and logs changes of the store's availability.
-func (c *clusterState) recordStoreCall(succeeded bool) {
+// recordStoreCall records whether a call to the store that started at the time succeeded, and logs changes of the store's availability.
+func (c *clusterState) recordStoreCall(startedAt time.Time, succeeded bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if !succeeded {
-		c.lastStoreFailure = now
+	switch {
+	case succeeded:
+		if c.isOutage(now) {
+			c.outageEndedAt = now
+		}
+		c.lastStoreSuccess, c.failingSince = now, time.Time{}
+	case c.failingSince.IsZero():
+		c.failingSince = startedAt
+		if c.lastStoreSuccess.After(startedAt) {
+			c.failingSince = c.lastStoreSuccess
+		}
 	}
 	if c.storeUnreachable == !succeeded {
 		return
@@ -208,6 +219,19 @@
 	c.storeChangedAt = now
 }
 
+// isOutage reports whether no call to the store has succeeded for so long that records of targets may have expired. One call that failed says
+// nothing about the store: its connection, or this VM alone, may have been turned away. The caller holds c.mu.
+func (c *clusterState) isOutage(now time.Time) bool {
+	return !c.failingSince.IsZero() && now.Sub(c.failingSince) >= minOutage
+}
+
+// wasStoreAway reports whether there is an outage of the store or was one shortly before.
+func (c *clusterState) wasStoreAway(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isOutage(now) || !c.outageEndedAt.IsZero() && now.Sub(c.outageEndedAt) < outageWindow
+}
+
 // isStoreUnreachable reports whether the last call to the store failed.
 func (c *clusterState) isStoreUnreachable() bool {
 	c.mu.Lock()
--- a/internal/radishsite/cluster_state_test.go
+++ b/internal/radishsite/cluster_state_test.go
@@ -99,9 +99,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		state := newTestState()
 		state.applyRecords(targetRecord("running", 1, "ready"), targetRecord("crashed", 2, "ready"))
-		state.recordStoreCall(false)
+		state.recordStoreCall(time.Now(), false)
 		time.Sleep(time.Second)
-		state.recordStoreCall(true)
+		state.recordStoreCall(time.Now(), true)
 		state.apply(state.mirror.Replace(radish.RecordTarget, nil, 10), "test")
 		if state.usableCount() != 2 {
 			t.Errorf("%d usable targets right after the store returned, want 2", state.usableCount())
@@ -115,11 +115,33 @@
 	})
 }
 
+// TestFailedCallsBetweenOthersAreNoOutage guards against keeping a target that has left in use since some calls to the store failed while others
+// succeeded, some of them late.
+func TestFailedCallsBetweenOthersAreNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := newTestState()
+		state.applyRecords(targetRecord("t1", 1, "ready"))
+		for range 20 {
+			startedAt := time.Now()
+			time.Sleep(700 * time.Millisecond)
+			state.recordStoreCall(time.Now(), true)
+			time.Sleep(100 * time.Millisecond)
+			state.recordStoreCall(startedAt, false)
+			time.Sleep(100 * time.Millisecond)
+			state.recordStoreCall(time.Now(), false)
+		}
+		state.applyRecords(targetRecord("t1", 2, "removed"))
+		if state.usableCount() != 0 {
+			t.Error("target is still usable after its record was removed")
+		}
+	})
+}
+
 func TestRemovedTargetIsDroppedAtOnceWithoutOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		state := newTestState()
 		state.applyRecords(targetRecord("t1", 1, "ready"))
-		state.recordStoreCall(true)
+		state.recordStoreCall(time.Now(), true)
 		time.Sleep(time.Minute)
 		state.applyRecords(targetRecord("t1", 2, "removed"))
 		if state.usableCount() != 0 {
--- a/internal/radishsite/peer_test.go
+++ b/internal/radishsite/peer_test.go
@@ -235,7 +235,7 @@
 				break
 			}
 		}
-		cutOff.state.recordStoreCall(false)
+		cutOff.state.recordStoreCall(time.Now(), false)
 		time.Sleep(5 * time.Second)
 		checkers := 0
 		for _, vm := range vms {
--- a/internal/radishsync/follower.go
+++ b/internal/radishsync/follower.go
@@ -16,6 +16,8 @@
 const (
 	// watchTimeout is how long a watch waits at the store for a change.
 	watchTimeout = 25 * time.Second
+	// probeTimeout is how long the watch after one that was cut off waits at the store: its response shows that the store answers.
+	probeTimeout = time.Millisecond
 	// idleInterval is how often a VM that gets changes from its peers checks whether it must watch the store itself.
 	idleInterval = 100 * time.Millisecond
 	// initialRetryDelay and maxRetryDelay bound the delay after a failed call, which doubles with each failure and is
@@ -42,8 +44,9 @@
 	// watch may return no changes while the store discards its history.
 	IsChecker      func() bool
 	RelistInterval time.Duration
-	// OnStoreCall is called after each call to the store; reached reports whether the store answered.
-	OnStoreCall func(reached bool)
+	// OnStoreCall is called after each call to the store that shows whether the store answers, with the time at which the call started. A watch
+	// that was cut off while it waited does not.
+	OnStoreCall func(startedAt time.Time, reached bool)
 	Log         hclog.Logger
 }
 
@@ -70,11 +73,12 @@
 		if ctx.Err() != nil || !f.IsChecker() || f.Mirror.CompleteRevision(f.Kind) == 0 {
 			continue
 		}
+		startedAt := time.Now()
 		records, at, err := f.Store.List(ctx, f.Kind)
 		if ctx.Err() != nil {
 			return
 		}
-		f.OnStoreCall(err == nil)
+		f.OnStoreCall(startedAt, err == nil)
 		if err != nil {
 			f.Log.Warn("periodic list of the store's records failed", "kind", string(f.Kind), "error", err.Error())
 			continue
@@ -86,7 +90,7 @@
 // watch lists the records once and then watches for changes. While this VM is not one that watches the store, it makes
 // no calls, unless the mirror has no list yet.
 func (f *Follower) watch(ctx context.Context) error {
-	revision := int64(0)
+	revision, wait := int64(0), watchTimeout
 	retryDelay := initialRetryDelay
 	for ctx.Err() == nil {
 		if complete := f.Mirror.CompleteRevision(f.Kind); complete > 0 && !f.IsWatcher() {
@@ -94,7 +98,8 @@
 			radish.Sleep(ctx, idleInterval)
 			continue
 		}
-		next, err := f.fetch(ctx, revision)
+		startedAt := time.Now()
+		next, err := f.fetch(ctx, revision, wait)
 		if ctx.Err() != nil {
 			break
 		}
@@ -104,8 +109,15 @@
 			revision = 0
 			continue
 		}
-		f.OnStoreCall(err == nil || errors.Is(err, radish.ErrHistoryGone))
+		if err != nil && !errors.Is(err, radish.ErrHistoryGone) && revision != 0 && wait == watchTimeout {
+			f.Log.Info("watch cut off, watching again", "kind", string(f.Kind), "revision", revision, "error", err.Error())
+			wait = probeTimeout
+			continue
+		}
+		f.OnStoreCall(startedAt, err == nil || errors.Is(err, radish.ErrHistoryGone))
 		switch {
+		case err == nil && wait == probeTimeout:
+			revision, wait, retryDelay = next, watchTimeout, initialRetryDelay
 		case err == nil:
 			revision, retryDelay = next, initialRetryDelay
 			radish.Sleep(ctx, f.watchDelay())
@@ -123,9 +135,9 @@
 	return ctx.Err()
 }
 
-// fetch applies the changes after the revision, or a full list if the revision is 0, and returns the revision to
-// continue from.
-func (f *Follower) fetch(ctx context.Context, revision int64) (int64, error) {
+// fetch applies the changes after the revision, for which it waits, or a full list if the revision is 0. It returns the revision to continue
+// from.
+func (f *Follower) fetch(ctx context.Context, revision int64, wait time.Duration) (int64, error) {
 	if revision == 0 {
 		records, at, err := f.Store.List(ctx, f.Kind)
 		if err != nil {
@@ -134,7 +146,7 @@
 		f.notify(f.Mirror.Replace(f.Kind, records, at))
 		return at, nil
 	}
-	records, at, err := f.Store.Watch(ctx, f.Kind, revision, watchTimeout)
+	records, at, err := f.Store.Watch(ctx, f.Kind, revision, wait)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/radishsync/follower_test.go
+++ b/internal/radishsync/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,8 @@
 	historyGone bool
 	// unavailable makes all calls fail with [radish.ErrUnavailable].
 	unavailable bool
+	// cutInterval is the time between two moments at which all waiting watches fail; 0 means that they do not.
+	cutInterval time.Duration
 	// leftToPeers makes the follower under test leave the store to other VMs.
 	leftToPeers bool
 	calls       int
@@ -83,7 +86,14 @@
 func (s *fakeStore) Watch(ctx context.Context, _ radish.RecordKind, after int64, wait time.Duration) ([]radish.Record, int64, error) {
 	timeout := time.After(wait)
 	hangs := false
-	s.update(func() { s.calls++; hangs = s.watchHangs })
+	var cut <-chan time.Time
+	s.update(func() {
+		s.calls++
+		hangs = s.watchHangs
+		if s.cutInterval > 0 {
+			cut = time.After(s.cutInterval)
+		}
+	})
 	if hangs {
 		time.Sleep(wait + time.Second)
 		return nil, 0, fmt.Errorf("%w: %w", radish.ErrUnavailable, context.DeadlineExceeded)
@@ -111,6 +121,8 @@
 		case <-changed:
 		case <-timeout:
 			return nil, revision, nil
+		case <-cut:
+			return nil, 0, radish.ErrUnavailable
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
 		}
@@ -122,11 +134,11 @@
 
 // startFollower runs a follower until the test ends and returns its mirror.
 func startFollower(t *testing.T, store *fakeStore, isChecker bool) *radishmirror.Mirror {
-	return startFollowerWith(t, store, isChecker, func(bool) {})
+	return startFollowerWith(t, store, isChecker, func(time.Time, bool) {})
 }
 
 // startFollowerWith is startFollower with a callback for the outcome of each call to the store.
-func startFollowerWith(t *testing.T, store *fakeStore, isChecker bool, onStoreCall func(reached bool)) *radishmirror.Mirror {
+func startFollowerWith(t *testing.T, store *fakeStore, isChecker bool, onStoreCall func(startedAt time.Time, reached bool)) *radishmirror.Mirror {
 	ctx, cancel := context.WithCancel(t.Context())
 	mirror := &radishmirror.Mirror{}
 	f := &Follower{
@@ -228,7 +240,7 @@
 		store := newFakeStore()
 		store.update(func() { store.watchHangs = true })
 		failures := 0
-		mirror := startFollowerWith(t, store, false, func(reached bool) {
+		mirror := startFollowerWith(t, store, false, func(_ time.Time, reached bool) {
 			if !reached {
 				failures++
 			}
@@ -246,6 +258,42 @@
 	})
 }
 
+// TestCutWatchIsNoOutage guards against taking watches that are cut off while they wait for an outage of the store, which answers all other calls.
+// Changes must be applied all the same, and the calls stay few.
+func TestCutWatchIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.update(func() { store.cutInterval = 300 * time.Millisecond })
+		var failures atomic.Int64
+		mirror := startFollowerWith(t, store, false, func(_ time.Time, reached bool) {
+			if !reached {
+				failures.Add(1)
+			}
+		})
+		time.Sleep(time.Second)
+		const seconds = 20
+		before := store.callCount()
+		for n := range seconds {
+			store.put(fmt.Sprint(n))
+			time.Sleep(time.Second)
+		}
+		if n := failures.Load(); n > 0 {
+			t.Errorf("%d calls counted as failed at a store that answers", n)
+		}
+		if got := recordCount(mirror); got != seconds {
+			t.Errorf("%d of %d changes were applied", got, seconds)
+		}
+		if calls := store.callCount() - before; calls > 6*seconds {
+			t.Errorf("%d calls in %d s, want at most 6 a second", calls, seconds)
+		}
+		store.update(func() { store.unavailable = true })
+		time.Sleep(time.Second)
+		if failures.Load() == 0 {
+			t.Error("no call counted as failed at a store that answers none")
+		}
+	})
+}
+
 // TestFrequentChangesAreBatched guards against one call to the store for each change: with a change every 10 ms, each
 // call must return many changes.
 func TestFrequentChangesAreBatched(t *testing.T) {
--- a/pkg/radish/record.go
+++ b/pkg/radish/record.go
@@ -21,7 +21,7 @@
 	RecordVM         RecordKind = "vm"
 	RecordRollout    RecordKind = "rollout"
 	// RecordCrashEvidence is the evidence on prompts that crash targets.
-	RecordCrashEvidence RecordKind = "crash_evidence"
+	RecordCrashEvidence RecordKind = "crash"
 )
 
 // RecordKinds lists the kinds of records that every entry VM watches. Where the settings limit the exposure of versions, it watches
