--- a/internal/radishtarget/client.go
+++ b/internal/radishtarget/client.go
@@ -7,12 +7,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"radishramp.example/radishramp/internal/radishdial"
 	"radishramp.example/radishramp/pkg/radish"
 )
 
@@ -44,6 +46,7 @@
 // NewTransport returns an HTTP transport that keeps enough idle connections for the targets of a data centre.
 func NewTransport() *http.Transport {
 	return &http.Transport{
+		DialContext:         radishdial.ReportResets(new(net.Dialer).DialContext),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     60 * time.Second,
 		DisableCompression:  true,
