--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -222,3 +222,48 @@
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	w.Header().Set("Response-Stamp", "signed-by-"+target.ID)
 }
+
+// TestEventsWithoutEnd guards against events that targets send on without ending them, just below the size of the largest event, and that pile up in
+// the VM until its memory is used up.
+func TestEventsWithoutEnd(t *testing.T) {
+	s := newSite(t)
+	stopped := make(chan struct{})
+	t.Cleanup(func() { close(stopped) })
+	const eventBytes = 980 << 10
+	s.crowdTarget.SetInterceptor(func(w http.ResponseWriter, r *http.Request) bool {
+		sign(w, r, s.crowdTarget)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write(bytes.Repeat([]byte("x"), eventBytes))
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-stopped:
+		case <-r.Context().Done():
+		}
+		return true
+	})
+	s.play(openers, func(conn net.Conn) { send(conn, []byte(requestHead("/crowd/x", announced(0))), 1<<10, 0) })
+}
+
+// TestBytesWithoutEndInPlaceOfResponses guards against targets that send bytes without end in place of a head, in a header line, or in a body.
+func TestBytesWithoutEndInPlaceOfResponses(t *testing.T) {
+	for name, head := range map[string]string{"no head": "", "header line": "HTTP/1.1 200 OK\r\nX-Line: ", "body without length": "HTTP/1.1 200 OK\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.crowdTarget.SetInterceptor(func(w http.ResponseWriter, _ *http.Request) bool {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return true
+				}
+				defer func() { _ = conn.Close() }()
+				_, err = conn.Write([]byte(head))
+				part := bytes.Repeat([]byte("x"), 64<<10)
+				for end := time.Now().Add(2 * holdTime); err == nil && time.Now().Before(end); {
+					_ = conn.SetWriteDeadline(end)
+					_, err = conn.Write(part)
+				}
+				return true
+			})
+			s.play(uploaders, func(conn net.Conn) { send(conn, []byte(requestHead("/crowd/x", announced(0))), 1<<10, 0) })
+		})
+	}
+}
--- a/internal/radishrelay/prefetch.go
+++ b/internal/radishrelay/prefetch.go
@@ -51,7 +51,7 @@
 
 // awaitEvent reads the first event of a stream. A stream that ends without one is complete.
 func awaitEvent(r io.Reader) error {
-	event, _, err := readEvent(bufio.NewReader(r))
+	event, _, err := (&eventReader{Reader: bufio.NewReader(r)}).next()
 	if errors.Is(err, io.EOF) && len(event) > 0 {
 		return io.ErrUnexpectedEOF
 	}
