--- a/internal/radishrelay/exchange.go
+++ b/internal/radishrelay/exchange.go
@@ -114,7 +114,7 @@
 	if e.route.LatencyObjective > 0 {
 		e.latencyDeadline = e.call.ReceivedAt.Add(min(timeout, e.route.LatencyObjective))
 	}
-	return radish.Refusal{}, true
+	return e.checkEnd()
 }
 
 // run forwards the call to a target.
--- a/internal/radishrelay/relay.go
+++ b/internal/radishrelay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -68,6 +69,8 @@
 
 	probes                        singleflight.Group
 	stagesStopped, waitingStopped stopSignal
+	// refuseLateAfter is the time after which no call may last, nil while the VM does not shut down.
+	refuseLateAfter atomic.Pointer[time.Time]
 }
 
 // Check implements radish.CallChecker.
--- a/internal/radishrelay/stop.go
+++ b/internal/radishrelay/stop.go
@@ -4,8 +4,14 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
+
+	"radishramp.example/radishramp/pkg/radish"
 )
 
+// stoppingRetryAfter is the mean retry delay for calls that come too late before the VM exits. Their callers reach another VM.
+const stoppingRetryAfter = 100 * time.Millisecond
+
 // errStopping reports that the VM is shutting down before the call has a response.
 var errStopping = errors.New("this VM is about to end")
 
@@ -27,6 +33,19 @@
 	s.cancel()
 }
 
+// RefuseLate makes the relay refuse calls that may last beyond the end, when the VM ends those without a response: nothing of them has been sent,
+// so their callers can repeat them at another VM. Calls that are limited to a time before the end are served.
+func (r *Relay) RefuseLate(end time.Time) { r.refuseLateAfter.Store(&end) }
+
+// checkEnd decides whether the call ends before the VM does; if it returns false, the call must be refused.
+func (e *exchange) checkEnd() (radish.Refusal, bool) {
+	end := e.relay.refuseLateAfter.Load()
+	if end == nil || !e.deadline.After(*end) {
+		return radish.Refusal{}, true
+	}
+	return radish.Refusal{Kind: radish.RefusalNotExecuted, RetryAfter: jitter(stoppingRetryAfter), Reason: errStopping.Error()}, false
+}
+
 // StopStages makes the relay refuse calls whose stages have not finished. It is called shortly before the VM exits.
 func (r *Relay) StopStages() { r.stagesStopped.send() }
 
--- a/internal/radishrelay/stop_test.go
+++ b/internal/radishrelay/stop_test.go
@@ -144,3 +144,20 @@
 		t.Errorf("got refusal %+v, status %d after %v, want %s after 1s", w.refusal, w.status, took, want)
 	}
 }
+
+// TestLateCallsAreRefused guards against calls that come shortly before the VM ends, are sent, and are cut when it ends: such a call is refused as not
+// run, unless its own time ends before.
+func TestLateCallsAreRefused(t *testing.T) {
+	for _, timeout := range []time.Duration{500 * time.Millisecond, 10 * time.Second} {
+		relay, forwarder := newRelay(&radishroute.Route{Kind: radishroute.KindAtMostOnce}, respondsWith(http.StatusOK, "ok"))
+		relay.RefuseLate(time.Now().Add(2 * time.Second))
+		call := newCall()
+		call.Timeout = timeout
+		w := handle(t.Context(), relay, call)
+		isLate := timeout > 2*time.Second
+		isRefused := w.refusal != nil && w.refusal.Kind == radish.RefusalNotExecuted && w.refusal.RetryAfter > 0
+		if isRefused != isLate || len(forwarder.sends) > 0 == isLate {
+			t.Errorf("call that is limited to %v: refusal %+v after %d sends", timeout, w.refusal, len(forwarder.sends))
+		}
+	}
+}
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -340,6 +340,8 @@
 		}
 	}
 	time.Sleep(shutdownAcceptTime - time.Since(startedAt))
+	// Requests still arrive on connections that were accepted before.
+	s.relay.RefuseLate(startedAt.Add(s.InitialSettings.ShutdownGrace - waitingMargin))
 	shutdownCtx, cancel := context.WithDeadline(background, startedAt.Add(s.InitialSettings.ShutdownGrace-shutdownMargin))
 	defer cancel()
 	err := callerServer.Shutdown(shutdownCtx)
