--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -43,7 +43,9 @@
 	assignments map[string]*shardAssignment
 	evacuated   map[string]bool
 	// leaving holds, by name, the targets that announced in a response that they leave. It outlasts their records.
-	leaving         map[string]LeavingTarget
+	leaving map[string]LeavingTarget
+	// departed holds, by name, the limits on calls to targets whose records were removed.
+	departed        map[string]departedTarget
 	dataCentreLinks map[string]*dataCentreLink
 	// speeds holds, by service, what is known about the speeds of its targets.
 	speeds map[string]*serviceSpeeds
@@ -105,6 +107,7 @@
 	if isNew {
 		f.remove(t.Name)
 		s = &targetState{}
+		f.restoreLimits(s, t)
 		f.targets[t.Name] = s
 		f.byService[t.Service] = append(f.byService[t.Service], s)
 		delete(f.assignments, t.Service)
@@ -130,6 +133,7 @@
 		return
 	}
 	delete(f.targets, name)
+	f.rememberLimits(s)
 	f.paceDigest ^= s.paceHash()
 	f.releaseAddress(s)
 	f.releaseProbe(s.target)
