--- a/internal/radishsite/cluster_state.go
+++ b/internal/radishsite/cluster_state.go
@@ -50,6 +50,9 @@
 	// orders and evidence are the waits for the lists without which the VM must not serve.
 	orders, evidence listWait
 
+	// applyMu is held while records are applied.
+	applyMu sync.Mutex
+
 	config   atomic.Pointer[radishroute.Config]
 	configAt atomic.Pointer[time.Time]
 
@@ -71,10 +74,21 @@
 	}
 }
 
-// apply updates the state from changed records. source names their origin in log lines.
+// apply updates the state from changed records of the mirror. source names their origin in log lines. Changes from several sources may come in
+// another order than the mirror got them, so that the mirror's newest record counts.
 func (c *clusterState) apply(changed []radish.Record, source string) {
+	c.applyRecords(changed, source)
+	c.onChange()
+}
+
+func (c *clusterState) applyRecords(changed []radish.Record, source string) {
+	c.applyMu.Lock()
+	defer c.applyMu.Unlock()
 	hasEvacuations := false
 	for _, r := range changed {
+		if newest, ok := c.mirror.Record(r.Kind, r.Name); ok && newest.Revision > r.Revision {
+			r = newest
+		}
 		switch r.Kind {
 		case radish.RecordConfig:
 			c.applyConfig(r, source)
@@ -92,7 +106,6 @@
 	if hasEvacuations {
 		c.applyEvacuations(source)
 	}
-	c.onChange()
 }
 
 func (c *clusterState) applyConfig(r radish.Record, source string) {
@@ -138,15 +151,18 @@
 		return
 	}
 	c.log.Info("target's record lapsed while the store was away", "target", r.Name, "revision", r.Revision, "source", source)
-	time.AfterFunc(lapsedRecordGrace, func() {
-		for _, record := range c.mirror.Records(radish.RecordTarget) {
-			if record.Name == r.Name {
-				return
-			}
-		}
-		c.fleet.Remove(r.Name)
-		c.log.Info("target gone", "target", r.Name, "revision", r.Revision, "source", "timeout")
-	})
+	time.AfterFunc(lapsedRecordGrace, func() { c.removeLapsed(r) })
+}
+
+// removeLapsed removes a target whose record has not reappeared.
+func (c *clusterState) removeLapsed(r radish.Record) {
+	c.applyMu.Lock()
+	defer c.applyMu.Unlock()
+	if newest, ok := c.mirror.Record(r.Kind, r.Name); ok && !newest.Removed {
+		return
+	}
+	c.fleet.Remove(r.Name)
+	c.log.Info("target gone", "target", r.Name, "revision", r.Revision, "source", "timeout")
 }
 
 func (c *clusterState) applyRollout(r radish.Record, source string) {
--- a/internal/radishsite/cluster_state_test.go
+++ b/internal/radishsite/cluster_state_test.go
@@ -49,7 +49,7 @@
 	return newClusterState(fakeDecoder{}, &radishmirror.Mirror{}, &radishfleet.Fleet{DataCentre: "a"}, hclog.NewNullLogger(), func() {})
 }
 
-func (c *clusterState) applyRecords(records ...radish.Record) {
+func (c *clusterState) applyNew(records ...radish.Record) {
 	c.apply(c.mirror.Apply(records), "test")
 }
 
@@ -74,20 +74,35 @@
 
 func TestTargetsFollowTheirRecords(t *testing.T) {
 	state := newTestState()
-	state.applyRecords(targetRecord("t1", 1, "ready"), targetRecord("t2", 2, "ready"), targetRecord("t3", 3, "torn"))
+	state.applyNew(targetRecord("t1", 1, "ready"), targetRecord("t2", 2, "ready"), targetRecord("t3", 3, "torn"))
 	if state.usableCount() != 2 {
 		t.Errorf("%d usable targets, want 2", state.usableCount())
 	}
-	state.applyRecords(targetRecord("t1", 4, "leaving"), targetRecord("t2", 5, "removed"))
+	state.applyNew(targetRecord("t1", 4, "leaving"), targetRecord("t2", 5, "removed"))
 	if state.usableCount() != 0 {
 		t.Errorf("%d usable targets, want none", state.usableCount())
 	}
 }
 
+// TestLateChangeDoesNotUndoNewerOne guards against a change that one source applies after another source has applied a newer one: a target that
+// leaves, or is gone, must not come back into use.
+func TestLateChangeDoesNotUndoNewerOne(t *testing.T) {
+	for _, newest := range []string{"leaving", "removed"} {
+		state := newTestState()
+		older := state.mirror.Apply([]radish.Record{targetRecord("t1", 1, "ready")})
+		newer := state.mirror.Apply([]radish.Record{targetRecord("t1", 2, newest)})
+		state.apply(newer, "store")
+		state.apply(older, "peer")
+		if state.usableCount() != 0 {
+			t.Errorf("the target is usable after an older change, although it is %s", newest)
+		}
+	}
+}
+
 func TestTornRecordRemovesTarget(t *testing.T) {
 	state := newTestState()
-	state.applyRecords(targetRecord("t1", 1, "ready"))
-	state.applyRecords(targetRecord("t1", 2, "torn"))
+	state.applyNew(targetRecord("t1", 1, "ready"))
+	state.applyNew(targetRecord("t1", 2, "torn"))
 	if state.usableCount() != 0 {
 		t.Error("target is still usable after another writer overwrote its record")
 	}
@@ -98,7 +113,7 @@
 func TestTargetsExpiredInOutageAreKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		state := newTestState()
-		state.applyRecords(targetRecord("running", 1, "ready"), targetRecord("crashed", 2, "ready"))
+		state.applyNew(targetRecord("running", 1, "ready"), targetRecord("crashed", 2, "ready"))
 		state.recordStoreCall(time.Now(), false)
 		time.Sleep(time.Second)
 		state.recordStoreCall(time.Now(), true)
@@ -107,7 +122,7 @@
 			t.Errorf("%d usable targets right after the store returned, want 2", state.usableCount())
 		}
 		time.Sleep(time.Second)
-		state.applyRecords(targetRecord("running", 11, "ready"))
+		state.applyNew(targetRecord("running", 11, "ready"))
 		time.Sleep(1500 * time.Millisecond)
 		if state.usableCount() != 1 {
 			t.Errorf("%d usable targets 2.5 s after the store returned, want 1", state.usableCount())
@@ -120,7 +135,7 @@
 func TestFailedCallsBetweenOthersAreNoOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		state := newTestState()
-		state.applyRecords(targetRecord("t1", 1, "ready"))
+		state.applyNew(targetRecord("t1", 1, "ready"))
 		for range 20 {
 			startedAt := time.Now()
 			time.Sleep(700 * time.Millisecond)
@@ -130,7 +145,7 @@
 			time.Sleep(100 * time.Millisecond)
 			state.recordStoreCall(time.Now(), false)
 		}
-		state.applyRecords(targetRecord("t1", 2, "removed"))
+		state.applyNew(targetRecord("t1", 2, "removed"))
 		if state.usableCount() != 0 {
 			t.Error("target is still usable after its record was removed")
 		}
@@ -140,10 +155,10 @@
 func TestRemovedTargetIsDroppedAtOnceWithoutOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		state := newTestState()
-		state.applyRecords(targetRecord("t1", 1, "ready"))
+		state.applyNew(targetRecord("t1", 1, "ready"))
 		state.recordStoreCall(time.Now(), true)
 		time.Sleep(time.Minute)
-		state.applyRecords(targetRecord("t1", 2, "removed"))
+		state.applyNew(targetRecord("t1", 2, "removed"))
 		if state.usableCount() != 0 {
 			t.Error("target is still usable after its record was removed")
 		}
@@ -152,12 +167,12 @@
 
 func TestEvacuationIsRevoked(t *testing.T) {
 	state := newTestState()
-	state.applyRecords(targetRecord("t1", 1, "ready"))
-	state.applyRecords(radish.Record{Kind: radish.RecordEvacuation, Name: "a", Revision: 2})
+	state.applyNew(targetRecord("t1", 1, "ready"))
+	state.applyNew(radish.Record{Kind: radish.RecordEvacuation, Name: "a", Revision: 2})
 	if state.usableCount() != 0 {
 		t.Error("target in an evacuated data centre is still usable")
 	}
-	state.applyRecords(radish.Record{Kind: radish.RecordEvacuation, Name: "a", Revision: 3, Removed: true})
+	state.applyNew(radish.Record{Kind: radish.RecordEvacuation, Name: "a", Revision: 3, Removed: true})
 	if state.usableCount() != 1 {
 		t.Error("target is not usable after the evacuation was revoked")
 	}
--- a/internal/radishsite/crash_evidence_test.go
+++ b/internal/radishsite/crash_evidence_test.go
@@ -180,7 +180,7 @@
 		for _, isListed := range []bool{true, false} {
 			state := newTestState()
 			state.keepsEvidence = true
-			state.applyRecords(radish.Record{Kind: radish.RecordConfig, Name: "main", Revision: 1})
+			state.applyNew(radish.Record{Kind: radish.RecordConfig, Name: "main", Revision: 1})
 			state.mirror.ApplyUpTo(radish.RecordTarget, nil, 1)
 			if state.isSynced() || state.servedConfig() != nil {
 				t.Error("the VM serves without the evidence")
--- a/internal/radishsite/rollout_evidence_test.go
+++ b/internal/radishsite/rollout_evidence_test.go
@@ -194,7 +194,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		state := newTestState()
 		state.rollouts = &rolloutManager{vmCount: func() int { return 1 }}
-		state.applyRecords(radish.Record{Kind: radish.RecordConfig, Name: "main", Revision: 1})
+		state.applyNew(radish.Record{Kind: radish.RecordConfig, Name: "main", Revision: 1})
 		state.mirror.ApplyUpTo(radish.RecordTarget, nil, 1)
 		p := &peerManager{state: state, rollouts: state.rollouts}
 		if state.isSynced() || state.servedConfig() != nil || !p.servePlan(t.Context(), nil).GetMoved() {
--- a/pkg/radishmirror/mirror.go
+++ b/pkg/radishmirror/mirror.go
@@ -113,6 +113,14 @@
 	return applied
 }
 
+// Record returns the newest record with the name, also if it was removed; ok is false if there never was one.
+func (m *Mirror) Record(kind radish.RecordKind, name string) (r radish.Record, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok = m.records[kind][name]
+	return r, ok
+}
+
 // Records returns the records of the kind that have not been removed, in no particular order.
 func (m *Mirror) Records(kind radish.RecordKind) []radish.Record {
 	m.mu.Lock()
