--- a/internal/radishconn/limiter.go
+++ b/internal/radishconn/limiter.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"radishramp.example/radishramp/pkg/radish"
 )
 
 const (
@@ -169,16 +171,7 @@
 
 // Run closes the connections that have been unused for too long until ctx ends.
 func (l *Limiter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ticker.C:
-			l.sweep(now)
-		}
-	}
+	return radish.Every(ctx, sweepInterval, l.sweep)
 }
 
 // sweep closes the connections that have been unused for too long.
--- a/internal/radishrelay/harmful_prompt_test.go
+++ b/internal/radishrelay/harmful_prompt_test.go
@@ -51,9 +51,10 @@
 	return parts
 }
 
-// TestPromptPartCrashesTargetAfterTarget sends calls with a part of the prompt that crashes targets, between sound ones with the same
-// team and other parts. Few of the former may reach targets; the latter must be answered.
-func TestPromptPartCrashesTargetAfterTarget(t *testing.T) {
+// playHarmfulPrompts sends 60 calls with a prompt that crashes targets, between sound ones. Few of the former may reach targets; the latter must be
+// answered.
+func playHarmfulPrompts(t *testing.T, harmful, sound func(i int) []radish.PromptPart) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		targets := &harmfulTargets{}
 		relay, _ := newRelay(&radishroute.Route{Kind: radishroute.KindStream, IsResumable: true, MaxAttempts: 2}, targets.respond)
@@ -61,12 +62,12 @@
 		unanswered := 0
 		for i := range 60 {
 			call := newCall()
-			call.Prompt = promptOf("first", fmt.Sprint("subject-", i%7), "harmful", fmt.Sprint("own-", i))
+			call.Prompt = harmful(i)
 			if w := handle(t.Context(), relay, call); w.status == http.StatusOK {
 				t.Errorf("harmful call %d: status %d", i, w.status)
 			}
 			call = newCall()
-			call.Prompt = promptOf("first", fmt.Sprint("subject-", i%7), fmt.Sprint("own-", i))
+			call.Prompt = sound(i)
 			if w := handle(t.Context(), relay, call); w.status != http.StatusOK {
 				unanswered++
 			}
@@ -81,32 +82,22 @@
 	})
 }
 
+// TestPromptPartCrashesTargetAfterTarget sends calls with a part of the prompt that crashes targets, between sound ones with the same
+// team and other parts.
+func TestPromptPartCrashesTargetAfterTarget(t *testing.T) {
+	playHarmfulPrompts(t,
+		func(i int) []radish.PromptPart {
+			return promptOf("first", fmt.Sprint("subject-", i%7), "harmful", fmt.Sprint("own-", i))
+		},
+		func(i int) []radish.PromptPart {
+			return promptOf("first", fmt.Sprint("subject-", i%7), fmt.Sprint("own-", i))
+		})
+}
+
 // TestOwnPartOfPromptCrashesTargets guards against a request that is sent again and again and crashes targets each time, though all parts of its
 // prompt but the last are those of sound calls.
 func TestOwnPartOfPromptCrashesTargets(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		targets := &harmfulTargets{}
-		relay, _ := newRelay(&radishroute.Route{Kind: radishroute.KindStream, IsResumable: true, MaxAttempts: 2}, targets.respond)
-		relay.Prober = fakeProber(func(string) bool { return true })
-		unanswered := 0
-		for i := range 60 {
-			call := newCall()
-			call.Prompt = promptOf("first", "subject", "harmful")
-			if w := handle(t.Context(), relay, call); w.status == http.StatusOK {
-				t.Errorf("harmful call %d: status %d", i, w.status)
-			}
-			call = newCall()
-			call.Prompt = promptOf("first", "subject", fmt.Sprint("own-", i))
-			if w := handle(t.Context(), relay, call); w.status != http.StatusOK {
-				unanswered++
-			}
-			time.Sleep(200 * time.Millisecond)
-		}
-		if late := targets.countLate(); late > maxHarmfulArrivals {
-			t.Errorf("%d of %d crashes came later than %v after the fifth, want at most %d", late, len(targets.crashedAt), harmfulGrace, maxHarmfulArrivals)
-		}
-		if unanswered > 0 {
-			t.Errorf("%d of 60 sound calls were not answered", unanswered)
-		}
-	})
+	playHarmfulPrompts(t,
+		func(int) []radish.PromptPart { return promptOf("first", "subject", "harmful") },
+		func(i int) []radish.PromptPart { return promptOf("first", "subject", fmt.Sprint("own-", i)) })
 }
--- a/internal/radishsite/crash_evidence.go
+++ b/internal/radishsite/crash_evidence.go
@@ -84,16 +84,7 @@
 
 // Run writes until ctx ends.
 func (w *crashWriter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(crashPollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ticker.C:
-			w.step(ctx, now)
-		}
-	}
+	return radish.Every(ctx, crashPollInterval, func(now time.Time) { w.step(ctx, now) })
 }
 
 // step writes the evidence if the store needs it and it is the turn of this VM.
--- a/internal/radishsite/memory.go
+++ b/internal/radishsite/memory.go
@@ -75,20 +75,13 @@
 
 // logMemory logs, at most once in the interval, that calls were refused or cut off for lack of memory.
 func (s *Server) logMemory(ctx context.Context) error {
-	ticker := time.NewTicker(memoryLogInterval)
-	defer ticker.Stop()
 	var last radishmemory.Stats
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return radish.Every(ctx, memoryLogInterval, func(time.Time) {
 		m := s.memory.Stats()
 		if m.Refused != last.Refused || m.Evicted != last.Evicted {
 			s.Log.Warn("memory is short", "held", m.Held, "budget", m.Budget, "grants", m.Grants,
 				"refused", m.Refused-last.Refused, "withdrawn", m.Evicted-last.Evicted)
 		}
 		last = m
-	}
+	})
 }
--- a/internal/radishsite/rollout_status.go
+++ b/internal/radishsite/rollout_status.go
@@ -119,16 +119,7 @@
 
 // Run decides until ctx ends.
 func (r *rolloutReporter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(rolloutInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ticker.C:
-			r.step(ctx, now)
-		}
-	}
+	return radish.Every(ctx, rolloutInterval, func(now time.Time) { r.step(ctx, now) })
 }
 
 func (r *rolloutReporter) step(ctx context.Context, now time.Time) {
--- a/internal/radishstage/silence.go
+++ b/internal/radishstage/silence.go
@@ -93,18 +93,11 @@
 // ProbeSilentPeers probes VMs that have not answered plans for a while and closes the links to those that are frozen, so that
 // their plans go to other VMs. It returns when ctx ends.
 func (r *Router) ProbeSilentPeers(ctx context.Context) error {
-	ticker := time.NewTicker(silenceCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ticker.C:
-			for _, name := range r.silence.startProbes(now) {
-				go r.probe(ctx, name)
-			}
+	return radish.Every(ctx, silenceCheckInterval, func(now time.Time) {
+		for _, name := range r.silence.startProbes(now) {
+			go r.probe(ctx, name)
 		}
-	}
+	})
 }
 
 // probe pings the VM and closes the link to it if it does not answer over an open link. Two outcomes are inconclusive: a
--- a/pkg/radish/sleep.go
+++ b/pkg/radish/sleep.go
@@ -19,3 +19,17 @@
 		return false
 	}
 }
+
+// Every calls f after each interval until ctx ends, and returns the error of ctx.
+func Every(ctx context.Context, interval time.Duration, f func(now time.Time)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			f(now)
+		}
+	}
+}
