--- a/internal/radishsite/duty.go
+++ b/internal/radishsite/duty.go
@@ -34,8 +34,10 @@
 }
 
 const (
-	// watcherCount is the number of VMs that watch the store for changes of each kind of record.
-	watcherCount = 8
+	// watcherCount is the number of VMs that watch the store for changes of each kind of record, and evidenceWatcherCount that for the evidence on
+	// crashes, which the VMs also exchange by themselves.
+	watcherCount         = 8
+	evidenceWatcherCount = 2
 	// peerSilenceLimit is how long a VM relies on peers to report changes after the last heartbeat of a peer that can
 	// reach the store.
 	peerSilenceLimit = 900 * time.Millisecond
@@ -47,7 +49,11 @@
 	p.mu.Lock()
 	isIsolated := time.Since(p.lastStorePeerHeartbeat) > peerSilenceLimit
 	p.mu.Unlock()
-	return isIsolated || p.isSelected("follow/"+string(kind), watcherCount)
+	n := watcherCount
+	if kind == radish.RecordCrashEvidence {
+		n = evidenceWatcherCount
+	}
+	return isIsolated || p.isSelected("follow/"+string(kind), n)
 }
 
 // checkerCount is the number of VMs that periodically list all records of each kind again.
--- a/internal/radishsite/loop.go
+++ b/internal/radishsite/loop.go
@@ -27,7 +27,7 @@
 var relistIntervals = map[radish.RecordKind]time.Duration{
 	radish.RecordConfig: time.Second, radish.RecordTarget: time.Second,
 	radish.RecordEvacuation: 2 * time.Second, radish.RecordVM: 5 * time.Second,
-	radish.RecordRollout: time.Second, radish.RecordCrashEvidence: 10 * time.Second,
+	radish.RecordRollout: time.Second, radish.RecordCrashEvidence: 30 * time.Second,
 }
 
 func (s *Server) addBackgroundLoops(background context.Context, group *run.Group) {
--- a/internal/radishsite/membership.go
+++ b/internal/radishsite/membership.go
@@ -60,20 +60,22 @@
 	m.savedAt = at
 }
 
-// publishVMRecord saves the VM's own record in the store, where the other VMs discover it. A VM that the list of VMs lacks joins: its record says
-// so until all others know of it, so that a restart in between does not take it for a VM that the others have known.
+// publishVMRecord saves the VM's own record in the store, where the other VMs discover it. A VM that the list of VMs lacks joins, and its record
+// says so. If it starts again, it cannot know whether all others have learned of it, and joins once more; then its record says that it has joined.
 func (s *Server) publishVMRecord(ctx context.Context) error {
-	isKnown := s.peers.awaitOwnRecord(ctx)
-	if isKnown {
+	earlier, isListed := s.peers.awaitOwnRecord(ctx)
+	record := s.peers.self
+	record.Joining = !isListed || earlier.Joining
+	if !record.Joining {
 		s.membership.setKnown()
 	}
-	record := s.peers.self
-	record.Joining = !isKnown
 	if err := s.saveVMRecord(ctx, record); err != nil {
 		return err
 	}
 	if record.Joining {
 		s.membership.setSaved(time.Now())
+	}
+	if isListed && record.Joining {
 		if !radish.Sleep(ctx, vmListDelay+shareWindow+rand.N(joinedSpread)) {
 			return ctx.Err()
 		}
@@ -105,18 +107,16 @@
 	}
 }
 
-// awaitOwnRecord waits for the list of VMs and reports whether this VM is in it and had joined before. Without a list in time, it had not.
-func (p *peerManager) awaitOwnRecord(ctx context.Context) bool {
+// awaitOwnRecord waits for the list of VMs and returns this VM's record in it; ok is false if there is none, or no list in time.
+func (p *peerManager) awaitOwnRecord(ctx context.Context) (vm radish.VMRecord, ok bool) {
 	for deadline := time.Now().Add(vmListTimeout); !p.hasVMList() && time.Now().Before(deadline); {
 		if !radish.Sleep(ctx, vmListPollInterval) {
-			return false
+			return radish.VMRecord{}, false
 		}
 	}
-	for _, r := range p.mirror.Records(radish.RecordVM) {
-		var vm radish.VMRecord
-		if r.Name == p.self.Name && json.Unmarshal(r.Value, &vm) == nil {
-			return !vm.Joining
-		}
+	r, ok := p.mirror.Record(radish.RecordVM, p.self.Name)
+	if !ok || r.Removed || json.Unmarshal(r.Value, &vm) != nil {
+		return radish.VMRecord{}, false
 	}
-	return false
+	return vm, true
 }
