--- a/internal/radishrelay/exchange.go
+++ b/internal/radishrelay/exchange.go
@@ -50,7 +50,7 @@
 	// lastEventID is the ID of the last event relayed to the caller.
 	lastEventID     string
 	responseStarted bool
-	// releaseStop lets the call go on when the relay ends calls without a response.
+	// releaseStop is called when the response starts: from then on, the end of waiting calls does not end this one.
 	releaseStop func() bool
 	// stagesEndedAfter and responseStartedAfter are the times from receiving the call to the end of its stages and to
 	// the start of its response.
--- a/internal/radishrelay/stop.go
+++ b/internal/radishrelay/stop.go
@@ -53,7 +53,8 @@
 // have started go on.
 func (r *Relay) StopWaiting() { r.waitingStopped.send() }
 
-// withStop returns a context that ends with errStopping as its cause when the signal is sent. release ends the connection to the signal.
+// withStop returns a context that ends with errStopping as its cause when the signal is sent. After
+// release, the signal no longer ends it.
 func withStop(ctx context.Context, s *stopSignal) (stoppable context.Context, cancel context.CancelFunc, release func() bool) {
 	stoppable, cancelCause := context.WithCancelCause(ctx)
 	release = context.AfterFunc(s.context(), func() { cancelCause(errStopping) })
--- a/internal/radishsite/membership.go
+++ b/internal/radishsite/membership.go
@@ -21,7 +21,7 @@
 	vmListDelay = 3 * time.Second
 	// joinedSpread spreads the writes of VMs that have joined at the same time.
 	joinedSpread = time.Second
-	// shareWindow is the time to which a limit per second applies, with the time that calls spend in transit.
+	// shareWindow is the second to which a limit per second applies, and the time that calls spend in transit.
 	shareWindow = 1200 * time.Millisecond
 )
 
