--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,4 @@
 #!/bin/sh
-# Builds the stand-ins of the third review into target/, beside the program of the deploy file.
-set -e
-cd "$(dirname "$0")/.."
-go build -o target/standin-3 ./review/standin-3
+# Builds the stand-ins of the cases 11 to 15, which share one program, into target/. It needs the Go toolchain and no network.
+cd "$(dirname "$0")/standin-3" || exit 2
+GOWORK=off GOPROXY=off exec go build -o ../../target/standin-3 .
--- a/review/standin-3/crowd.go
+++ b/review/standin-3/crowd.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -27,6 +29,8 @@
 	restartDelay = 500 * time.Millisecond
 	// bodySize is the length that the bodies announce; they stop a byte short of it.
 	bodySize = 4096
+	// maxOther is the number of other files that a process opens.
+	maxOther = 500
 	// newClients is the number of ordinary clients that try new connections at the same time.
 	newClients = 8
 	// triesEvery is the time between two tries, crowdWatch how long they go on.
@@ -34,6 +38,21 @@
 	crowdWatch = 9 * time.Second
 )
 
+// errDescriptors reports that this machine allows too few open files for a crowd.
+var errDescriptors = errors.New("too few open files are allowed on this machine")
+
+// checkDescriptors returns an error if the processes of a case with crowds at the given number of VMs may not open enough connections.
+func checkDescriptors(vms int) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if limit.Max < uint64(vms*crowdSize+maxOther) {
+		return fmt.Errorf("%w: %d", errDescriptors, limit.Max)
+	}
+	return nil
+}
+
 // openCrowd opens n requests at the VM whose bodies stop just short of their end and stay open.
 func (l *lab) openCrowd(v *vm, n int, prompt string) (conns []net.Conn) {
 	var mu sync.Mutex
@@ -59,6 +78,9 @@
 // playHeads opens, in several rounds, requests at both VMs with heads of legal size that hold a list of very many parts of a prompt. The
 // platform kills a process that takes more than its memory, and starts it again. The rule is broken if that happens often enough to both.
 func playHeads(l *lab) (bool, error) {
+	if err := checkDescriptors(2); err != nil {
+		return false, err
+	}
 	if err := l.startDesk(2, 20*time.Millisecond); err != nil {
 		return false, err
 	}
@@ -138,6 +160,9 @@
 // playCrowd lets ordinary clients try new connections beside a crowd. The rule is broken if for the whole stability window the VM says that it
 // is ready and takes none of them.
 func playCrowd(l *lab) (bool, error) {
+	if err := checkDescriptors(1); err != nil {
+		return false, err
+	}
 	if err := l.startDesk(2, 20*time.Millisecond); err != nil {
 		return false, err
 	}
