Take no earlier removal at a peer for a record that exists

What callers would see: a VM that gets its records from its peers goes on sending calls to a target that is gone. No run with real processes has shown it; a property test of the mirror found it.

Cause: a peer's full list contains removed records. Where the peer knows an earlier removal than the last one, Mirror.Replace took the name for listed and did not apply the older removal, so that the record stayed.

Change: only records that are not removed count as listed.

Result: TestEarlierRemovalAtPeerHidesNoLaterOne failed before ("got records [...], want none") and passes now, as do the tests of radishmirror and radishsite.

--- a/pkg/radishmirror/mirror.go
+++ b/pkg/radishmirror/mirror.go
@@ -65,7 +65,8 @@
 	}
 	listed := make(map[string]bool, len(records))
 	for _, r := range records {
-		listed[r.Name] = true
+		// A peer also reports records that were removed, maybe at an earlier removal than the last one.
+		listed[r.Name] = !r.Removed
 	}
 	applied := m.apply(records)
 	for name, stored := range m.records[kind] {
--- a/pkg/radishmirror/mirror_test.go
+++ b/pkg/radishmirror/mirror_test.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// TestEarlierRemovalAtPeerHidesNoLaterOne guards against keeping a record that was created again and removed a second time between two lists of the
+// peer: the peer knows only the first removal.
+func TestEarlierRemovalAtPeerHidesNoLaterOne(t *testing.T) {
+	var peer, m Mirror
+	peer.Replace(radish.RecordTarget, []radish.Record{record("gone", 2, false)}, 2)
+	peer.Replace(radish.RecordTarget, nil, 3)
+	m.Replace(radish.RecordTarget, []radish.Record{record("gone", 4, false)}, 4)
+	peer.Replace(radish.RecordTarget, nil, 5)
+	all := peer.ChangesSince(radish.RecordTarget, 0)
+	m.Replace(radish.RecordTarget, all.Records, all.CompleteRevision)
+	if got := m.Records(radish.RecordTarget); len(got) > 0 {
+		t.Errorf("got records %v, want none", got)
+	}
+}
+
 // TestOutdatedStateIsIgnored guards against restoring a removed record from outdated state. A list, a watch result and a
 // peer's changes arrive late and hold a record that was removed before the mirror's first list.
 func TestOutdatedStateIsIgnored(t *testing.T) {
