Write the records of VMs that a store has lost again

Callers saw cold targets get 37 to 39 calls in a second after a drill of the store, where 18.35 are allowed, and crash under accepted orders.

Cause: a VM saved its record only once, when it started. The copy that the store came back from lacked it, so each VM divided the limits that apply to all VMs together by a smaller number.

Change: a VM saves its record again when the list of a new era lacks it or has another value, spread over 2 s.

--- a/internal/radishsite/loop.go
+++ b/internal/radishsite/loop.go
@@ -49,7 +49,7 @@
 	add(s.publishVMRecord)
 	add(s.watchSettings)
 	add((&crashWriter{peers: s.peers, store: s.Store, log: s.Log.Named("crash")}).Run)
-	add((&eraKeeper{peers: s.peers, log: s.Log.Named("era")}).Run)
+	add((&eraKeeper{peers: s.peers, store: s.Store, log: s.Log.Named("era")}).Run)
 	if s.rollouts != nil {
 		reporter := &rolloutReporter{
 			manager: s.rollouts, peers: s.peers, store: s.RolloutStore, records: s.Store, onChange: s.redispatchAll, oldResults: s.resultsOfOthers,
--- a/internal/radishsite/membership.go
+++ b/internal/radishsite/membership.go
@@ -1,6 +1,7 @@
 package radishsite
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -21,6 +22,8 @@
 	vmListDelay = 3 * time.Second
 	// joinedSpread spreads the writes of VMs that have joined at the same time.
 	joinedSpread = time.Second
+	// rewriteSpread spreads the writes of VMs whose records the store has lost at the same time.
+	rewriteSpread = 2 * time.Second
 	// shareWindow is the second to which a limit per second applies, and the time that calls spend in transit.
 	shareWindow = 1200 * time.Millisecond
 )
@@ -64,7 +67,7 @@
 // says so. If it starts again, it cannot know whether all others have learned of it, and joins once more; then its record says that it has joined.
 func (s *Server) publishVMRecord(ctx context.Context) error {
 	earlier, isListed := s.peers.awaitOwnRecord(ctx)
-	record := s.peers.self
+	record, era := s.peers.self, s.peers.mirror.Era()
 	record.Joining = !isListed || earlier.Joining
 	if !record.Joining {
 		s.membership.setKnown()
@@ -79,15 +82,43 @@
 		if !radish.Sleep(ctx, vmListDelay+shareWindow+rand.N(joinedSpread)) {
 			return ctx.Err()
 		}
-		record.Joining = false
+		record.Joining, era = false, s.peers.mirror.Era()
 		if err := s.saveVMRecord(ctx, record); err != nil {
 			return err
 		}
 	}
-	<-ctx.Done()
+	return s.keepVMRecord(ctx, record, era)
+}
+
+// keepVMRecord saves the record, which was saved in the era, again whenever the store has lost it.
+func (s *Server) keepVMRecord(ctx context.Context, record radish.VMRecord, era radish.Era) error {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	for radish.Sleep(ctx, eraPollInterval) {
+		listed := s.peers.mirror.CompleteRevision(radish.RecordVM).Era()
+		if listed <= era {
+			continue
+		}
+		// The writes of all VMs are spread, as the store limits their rate.
+		if !s.isStored(record.Name, value, listed) && radish.Sleep(ctx, rand.N(rewriteSpread)) && !s.isStored(record.Name, value, listed) {
+			s.Log.Info("store has lost this VM's record, saving it again", "era", int64(listed))
+			if err := s.saveVMRecord(ctx, record); err != nil {
+				return err
+			}
+		}
+		era = listed
+	}
 	return ctx.Err()
 }
 
+// isStored reports whether the store has the value as the VM's record in the era, as far as this VM knows.
+func (s *Server) isStored(name string, value []byte, era radish.Era) bool {
+	r, ok := s.peers.mirror.Record(radish.RecordVM, name)
+	return ok && !r.Removed && r.Revision.Era() >= era && bytes.Equal(r.Value, value)
+}
+
 // saveVMRecord saves the record and tries again until it succeeds or ctx ends.
 func (s *Server) saveVMRecord(ctx context.Context, record radish.VMRecord) error {
 	value, err := json.Marshal(record)
--- a/internal/radishsite/membership_test.go
+++ b/internal/radishsite/membership_test.go
@@ -54,15 +54,24 @@
 // startColdCaller starts the process of the VM number i, which knows the first listed VMs; it joins if it is none of them.
 func startColdCaller(t *testing.T, i, listed int) *coldCaller {
 	t.Helper()
-	s := newQuotaServer(fmt.Sprint("vm-", i))
 	sink := &recordSink{}
-	s.Store, s.membership = sink, membership{startedAt: time.Now()}
+	vm := startColdCallerWith(t, i, listed, sink)
+	vm.sink = sink
+	return vm
+}
+
+// startColdCallerWith is startColdCaller with the store in which the VM saves its record.
+func startColdCallerWith(t *testing.T, i, listed int, store radish.RecordStore) *coldCaller {
+	t.Helper()
+	s := newQuotaServer(fmt.Sprint("vm-", i))
+	s.peers.self.Address = s.peers.self.Name
+	s.Store, s.membership = store, membership{startedAt: time.Now()}
 	s.fleet = &radishfleet.Fleet{DataCentre: "a", ColdQuota: s.coldQuota}
 	s.fleet.Set(radish.Target{Name: "t", Address: "t:1", DataCentre: "a", Service: "s", Slots: 64, ColdRemaining: time.Hour}, time.Now())
 	s.setVMList(t, listed)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { _ = s.publishVMRecord(ctx) }()
-	return &coldCaller{Server: s, sink: sink, cancel: cancel}
+	return &coldCaller{Server: s, cancel: cancel}
 }
 
 // mostInSecond returns the largest number of the times that lie within a second.
