Drill the store among the faults of the soak

At the end a new route must be served by all VMs within 2 s, and a target that leaves must get no calls.

--- a/e2e/drill_test.go
+++ b/e2e/drill_test.go
@@ -34,8 +34,7 @@
 		s.store.Restore(older, d.away > 0)
 		s.store.SetFault(radishadaptertest.FaultNone)
 		time.Sleep(time.Second)
-		s.configVersion--
-		s.putConfig("/plain/")
+		s.rewriteConfig("/plain/")
 	}
 }
 
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -23,14 +24,18 @@
 // siteCluster consists of test doubles of the users' platform, a store and targets, within the test process and of entry
 // VMs as separate processes.
 type siteCluster struct {
-	t             *testing.T
-	store         *radishadaptertest.Store
-	storeAddress  string
-	binary        string
-	plainTargets  []*radishadaptertest.Target
-	engineTarget  *radishadaptertest.Target
-	stageTargets  []*radishadaptertest.Target
+	t            *testing.T
+	store        *radishadaptertest.Store
+	storeAddress string
+	binary       string
+	plainTargets []*radishadaptertest.Target
+	engineTarget *radishadaptertest.Target
+	stageTargets []*radishadaptertest.Target
+	// configMu guards the next two fields.
+	configMu      sync.Mutex
 	configVersion int
+	// addedRoutes are path prefixes that later versions of the configuration route to the plain targets too.
+	addedRoutes []string
 	// settings are further lines of the VMs' settings.
 	settings string
 }
@@ -70,14 +75,33 @@
 
 // putConfig writes a new configuration version in which the route named plain has the given path prefix.
 func (s *siteCluster) putConfig(prefix string) {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
 	s.configVersion++
+	s.writeConfig(prefix)
+}
+
+// rewriteConfig writes the newest configuration version once more.
+func (s *siteCluster) rewriteConfig(prefix string) {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
+	s.writeConfig(prefix)
+}
+
+// writeConfig requires configMu.
+func (s *siteCluster) writeConfig(prefix string) {
+	var routes []map[string]any
+	for i, path := range append([]string{prefix}, s.addedRoutes...) {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprint("plain-", i), "host": "a.example", "path_prefix": path, "kind": "unsafe", "service": "plain", "max_attempts": 2, "timeout_ms": 3000,
+		})
+	}
 	s.store.Put("config", "main", map[string]any{
 		"version": s.configVersion,
-		"routes": []map[string]any{
-			{"name": "plain", "host": "a.example", "path_prefix": prefix, "kind": "unsafe", "service": "plain", "max_attempts": 2, "timeout_ms": 3000},
+		"routes": append(routes, []map[string]any{
 			{"name": "stream", "host": "a.example", "path_prefix": "/stream/", "kind": "streaming", "service": "engine", "max_attempts": 2, "timeout_ms": 5000,
 				"target_latency_ms": 2000, "resumable": true, "stages": []map[string]any{{"service": "stage", "after": []int{}, "bytes": 100}, {"service": "stage", "after": []int{0}, "bytes": 100}}},
-		},
+		}...),
 		"services": []map[string]any{
 			{"name": "plain"}, {"name": "engine", "engine": map[string]any{"slots": 8}},
 			{"name": "stage", "pieces": map[string]any{"slots": 1, "queue": 2, "batch": 8, "call_ms": 30, "item_ms": 1, "room_mb": 1, "handle_s": 4}},
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -116,11 +116,14 @@
 			callers.Go(func() { s.sendUntil(stop, vm, random) })
 		}
 	}
-	var announcements sync.WaitGroup
-	announcements.Go(func() { s.announce(seed, time.Duration(*soakSeconds)*time.Second) })
-	s.injectFaults(time.Duration(*soakSeconds) * time.Second)
-	announcements.Wait()
+	period := time.Duration(*soakSeconds) * time.Second
+	var others sync.WaitGroup
+	others.Go(func() { s.announce(seed, period) })
+	others.Go(func() { s.drillStore(seed, period) })
+	s.injectFaults(period)
+	others.Wait()
 	s.checkRecovery()
+	s.checkChanges()
 	close(stop)
 	callers.Wait()
 	s.checkCalls()
@@ -131,6 +134,7 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{siteCluster: newSiteCluster(t), random: rand.New(rand.NewPCG(seed, 0)), startedAt: time.Now()}
+	s.store.SetEra(1)
 	secondEngine := s.addTarget(&radishadaptertest.Target{ID: "engine-1", Events: 5, Delay: 5 * time.Millisecond}, "engine")
 	s.engineTargets = []*radishadaptertest.Target{s.engineTarget, secondEngine}
 	// The order of the links is fixed, so that a seed fixes which of them a fault hits.
