Check all VMs at once at the end of a soak

Traced: the VM in question serves staged requests in 0.4 s, but the check took the VMs one after the other, 1.4 s each, so the time of all of them was over at the eighth or ninth.

The check was wrong for more than a few VMs. It now takes all VMs at once, each with the same 12 s and the same requests, so that it asks the same of each VM, and more of all together.

--- a/e2e/soak_check_test.go
+++ b/e2e/soak_check_test.go
@@ -3,28 +3,36 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
-// checkRecovery checks that each VM serves three requests of both kinds in a row soon after the last fault.
+// checkRecovery checks that each VM serves three requests of both kinds in a row soon after the last fault. All VMs are checked at once, so that
+// the time does not depend on their number.
 func (s *soak) checkRecovery() {
 	deadline := time.Now().Add(soakRecoveryTimeout)
+	var checks sync.WaitGroup
 	for _, vm := range s.vms {
-		if !vm.waitUntilReady(time.Until(deadline)) {
-			s.t.Errorf("%s was not ready %v after the last fault", vm.name, soakRecoveryTimeout)
-			continue
-		}
-		for _, isStaged := range []bool{false, true} {
-			for successes := 0; successes < 3; {
-				if call := s.send(http.DefaultClient, vm, isStaged); call.status == http.StatusOK {
-					successes++
-				} else {
-					successes = 0
-				}
-				if time.Now().After(deadline) {
-					s.t.Errorf("%s did not serve three requests in a row within %v after the last fault (staged: %v)", vm.name, soakRecoveryTimeout, isStaged)
-					return
-				}
+		checks.Go(func() { s.checkRecoveryOf(vm, deadline) })
+	}
+	checks.Wait()
+}
+
+func (s *soak) checkRecoveryOf(vm *soakVM, deadline time.Time) {
+	if !vm.waitUntilReady(time.Until(deadline)) {
+		s.t.Errorf("%s was not ready %v after the last fault", vm.name, soakRecoveryTimeout)
+		return
+	}
+	for _, isStaged := range []bool{false, true} {
+		for successes := 0; successes < 3; {
+			if call := s.send(http.DefaultClient, vm, isStaged); call.status == http.StatusOK {
+				successes++
+			} else {
+				successes = 0
+			}
+			if time.Now().After(deadline) {
+				s.t.Errorf("%s did not serve three requests in a row within %v after the last fault (staged: %v)", vm.name, soakRecoveryTimeout, isStaged)
+				return
 			}
 		}
 	}
