Ask targets whether they are cold while the store is away

Callers saw a target that had become cold while the store was away get 37 or more requests in a second (18.35 allowed) and crash; accepted orders were answered 502.

Cause: VMs learned from records alone that a target is cold. It said so in its health responses, for which nobody asked.

Change: while neither a VM nor its peers reach the store, each target with a limit for its cold time is asked for its health once a second by one VM. How long it says that it is cold is read from every response, holds for that start of the target whatever its record says, and goes to the other VMs with their reports. A response of another instance says nothing about the target.

--- a/cmd/site.go
+++ b/cmd/site.go
@@ -93,7 +93,7 @@
 	host, _, _ := net.SplitHostPort(site.CallerAddress)
 	server := &radishsite.Server{
 		InitialSettings: site, Store: store, RolloutStore: store,
-		Decoder: radishadapter.RecordDecoder{}, Forwarder: targets, Prober: targets, StageClient: targets, Log: log,
+		Decoder: radishadapter.RecordDecoder{}, Forwarder: targets, Prober: targets, HealthChecker: targets, StageClient: targets, Log: log,
 		MetricsAddress: net.JoinHostPort(host, metricsPort), SendTimeout: limits.WithDefaults().SendTimeout,
 		NewCallerHandler: func(handler radish.CallHandler, memory *radishmemory.Account, maxBody func() int64, isLeaving func() bool) http.Handler {
 			return &radishadapter.FrontEnd{Handler: handler, Memory: memory, Limits: limits, MaxBody: maxBody, IsLeaving: isLeaving}
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -36,6 +36,8 @@
 	configVersion int
 	// addedRoutes are path prefixes that later versions of the configuration route to the plain targets too.
 	addedRoutes []string
+	// coldPerSecond is the rate of calls that a cold plain target bears; 0 means that it bears all. It must be set before a version is written.
+	coldPerSecond float64
 	// settings are further lines of the VMs' settings.
 	settings string
 }
@@ -103,7 +105,7 @@
 				"target_latency_ms": 2000, "resumable": true, "stages": []map[string]any{{"service": "stage", "after": []int{}, "bytes": 100}, {"service": "stage", "after": []int{0}, "bytes": 100}}},
 		}...),
 		"services": []map[string]any{
-			{"name": "plain"}, {"name": "engine", "engine": map[string]any{"slots": 8}},
+			{"name": "plain", "health_path": "/healthz", "cold_per_s": s.coldPerSecond}, {"name": "engine", "engine": map[string]any{"slots": 8}},
 			{"name": "stage", "pieces": map[string]any{"slots": 1, "queue": 2, "batch": 8, "call_ms": 30, "item_ms": 1, "room_mb": 1, "handle_s": 4}},
 		},
 		"limits":  map[string]any{"max_body_bytes": 65536},
@@ -114,8 +116,9 @@
 // siteVM is an entry VM that runs with the settings of the users' platform.
 type siteVM struct {
 	process
-	name         string
-	readyAddress string
+	name           string
+	readyAddress   string
+	metricsAddress string
 	// args are the arguments of the VM's process; its addresses stay the same when it restarts. output receives its log.
 	args   []string
 	output io.Writer
@@ -145,7 +148,7 @@
 	}
 	_, metricsPort, _ := strings.Cut(metricsAddress, ":")
 	return &siteVM{
-		process: process{callerAddress: frontAddress}, name: name, readyAddress: readyAddress, output: os.Stderr,
+		process: process{callerAddress: frontAddress}, name: name, readyAddress: readyAddress, metricsAddress: metricsAddress, output: os.Stderr,
 		args: []string{"site", "-c", file, "--metrics-port", metricsPort, "--log-level", "warn"},
 	}
 }
@@ -181,6 +184,27 @@
 	return false
 }
 
+// areLinked reports whether each of the VMs has a link to all others.
+func areLinked(vms []*siteVM) bool {
+	for _, vm := range vms {
+		if !strings.Contains(vm.metrics(), fmt.Sprintf("\nradishramp_peers_linked %d\n", len(vms)-1)) {
+			return false
+		}
+	}
+	return true
+}
+
+// metrics returns the VM's metrics as text; it is empty if the VM does not answer.
+func (vm *siteVM) metrics() string {
+	res, err := readyClient.Get("http://" + vm.metricsAddress + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer res.Body.Close()
+	text, _ := io.ReadAll(res.Body)
+	return string(text)
+}
+
 // call sends one request and returns the status and body. Status 0 means that there was no complete response; the body
 // is then the error.
 func (s *siteCluster) call(vm *siteVM, path string, headers map[string]string) (int, string) {
--- a/internal/radishsite/duty.go
+++ b/internal/radishsite/duty.go
@@ -46,14 +46,18 @@
 // isWatcher reports whether this VM watches the store for changes of the kind. It does if it is one of the selected
 // VMs, or if it has had no recent heartbeat of a peer that can reach the store.
 func (p *peerManager) isWatcher(kind radish.RecordKind) bool {
-	p.mu.Lock()
-	isIsolated := time.Since(p.lastStorePeerHeartbeat) > peerSilenceLimit
-	p.mu.Unlock()
 	n := watcherCount
 	if kind == radish.RecordCrashEvidence {
 		n = evidenceWatcherCount
 	}
-	return isIsolated || p.isSelected("follow/"+string(kind), n)
+	return p.lacksStorePeer() || p.isSelected("follow/"+string(kind), n)
+}
+
+// lacksStorePeer reports whether this VM has had no recent heartbeat of a peer that can reach the store.
+func (p *peerManager) lacksStorePeer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.lastStorePeerHeartbeat) > peerSilenceLimit
 }
 
 // checkerCount is the number of VMs that periodically list all records of each kind again.
@@ -70,6 +74,11 @@
 	return slices.Contains(radish.RendezvousOwners(p.storeVMs(), key, n), p.self.Name)
 }
 
+// isProberOf reports whether this VM is the one of the available VMs that asks the target for its health.
+func (p *peerManager) isProberOf(target string) bool {
+	return radish.RendezvousOwners(p.availableVMs(), "health/"+target, 1)[0] == p.self.Name
+}
+
 // storeVMs returns the available VMs without the peers that cannot reach the store.
 func (p *peerManager) storeVMs() []string {
 	names := p.availableVMs()
--- a/internal/radishsite/gossip.go
+++ b/internal/radishsite/gossip.go
@@ -82,7 +82,7 @@
 		Vm: p.self.Name, DataCentre: p.self.DataCentre, PeerAddress: p.self.Address, Incarnation: p.self.Incarnation, Leaving: p.isLeaving(),
 		Complete: make(map[string]int64), StoreAway: p.state.isStoreUnreachable(), CoordinatorsDigest: p.coordinatorsDigest(),
 		CrashesDigest: p.quarantine.Digest(time.Now()), LeavingTargetsDigest: p.state.fleet.LeavingDigest(time.Now()),
-		PacesDigest: p.state.fleet.PaceDigest(),
+		PacesDigest: p.state.fleet.PaceDigest(), ColdTargetsDigest: p.state.fleet.ColdDigest(time.Now()),
 	}
 	for _, kind := range p.recordKinds() {
 		h.Complete[string(kind)] = int64(p.mirror.CompleteRevision(kind))
--- a/internal/radishsite/loop.go
+++ b/internal/radishsite/loop.go
@@ -50,6 +50,9 @@
 	add(s.watchSettings)
 	add((&crashWriter{peers: s.peers, store: s.Store, log: s.Log.Named("crash")}).Run)
 	add((&eraKeeper{peers: s.peers, store: s.Store, log: s.Log.Named("era")}).Run)
+	if s.HealthChecker != nil {
+		add((&coldProber{server: s, checker: s.HealthChecker, log: s.Log.Named("health")}).Run)
+	}
 	if s.rollouts != nil {
 		reporter := &rolloutReporter{
 			manager: s.rollouts, peers: s.peers, store: s.RolloutStore, records: s.Store, onChange: s.redispatchAll, oldResults: s.resultsOfOthers,
--- a/internal/radishsite/peer.go
+++ b/internal/radishsite/peer.go
@@ -161,6 +161,7 @@
 	p.mergeCoordinators(h.GetCoordinators())
 	p.mergeCrashes(h.GetCrashes(), h.GetVm())
 	p.mergeLeaving(h.GetLeavingTargets(), h.GetVm())
+	p.mergeCold(h.GetColdTargets(), h.GetVm())
 	p.mergePaces(h)
 	if p.rollouts != nil {
 		p.rollouts.mergeHistories(h.GetRolloutHistories(), h.GetVm())
--- a/internal/radishsite/report.go
+++ b/internal/radishsite/report.go
@@ -10,7 +10,7 @@
 )
 
 // Reports on targets are what VMs tell each other about targets beside the store's records: crashes, and announcements that a target
-// leaves. They only grow until they expire, so that VMs may exchange them in any order.
+// leaves or is cold. They only grow until they expire, so that VMs may exchange them in any order.
 
 // shareReports notifies peers of new reports on targets.
 func (p *peerManager) shareReports() {
@@ -22,13 +22,14 @@
 func (p *peerManager) addReports(h *radishpeerpb.SiteHeartbeat) {
 	h.Crashes = encodeCrashes(p.quarantine.Crashes(), time.Now())
 	h.LeavingTargets = p.encodeLeaving()
+	h.ColdTargets = p.encodeCold()
 	p.addPaces(h)
 }
 
 // differInReports reports whether the senders of two heartbeats have different reports on targets.
 func differInReports(a, b *radishpeerpb.SiteHeartbeat) bool {
 	return a.GetCrashesDigest() != b.GetCrashesDigest() || a.GetLeavingTargetsDigest() != b.GetLeavingTargetsDigest() ||
-		a.GetPacesDigest() != b.GetPacesDigest()
+		a.GetPacesDigest() != b.GetPacesDigest() || a.GetColdTargetsDigest() != b.GetColdTargetsDigest()
 }
 
 // sendReports sends this VM's reports on targets to one peer.
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -69,7 +69,9 @@
 	Decoder      Decoder
 	Forwarder    radish.Forwarder
 	// Prober checks targets at which an attempt was cut. If it is nil, they are not checked.
-	Prober           radish.TargetProber
+	Prober radish.TargetProber
+	// HealthChecker asks targets for their health while the store is away. If it is nil, they are not asked.
+	HealthChecker    radish.TargetHealthChecker
 	StageClient      radish.StageClient
 	NewCallerHandler CallerHandlerFactory
 	// SendTimeout is how long a caller may leave sent data unread or unacknowledged.
--- a/pkg/radish/send.go
+++ b/pkg/radish/send.go
@@ -73,6 +73,13 @@
 	IsDown(ctx context.Context, t Target) bool
 }
 
+// TargetHealthChecker asks targets for their health.
+type TargetHealthChecker interface {
+	// CheckHealth requests the path, at which targets of the service report their health. What the target says about itself goes to the
+	// [TargetObserver].
+	CheckHealth(ctx context.Context, t Target, path string) error
+}
+
 // Piece is one unit of work of a stage; pieces are sent to targets in batches.
 type Piece struct {
 	// CallID is the id of the call that needs the piece.
--- a/pkg/radish/target.go
+++ b/pkg/radish/target.go
@@ -39,6 +39,8 @@
 type TargetNotice struct {
 	// IsLeaving is whether the target announces that it leaves.
 	IsLeaving bool
+	// Cold is how much longer the target is cold; 0 means that it does not say so.
+	Cold time.Duration
 	// Pause is the time for which the target asks this VM to send it nothing; 0 means that it does not ask.
 	Pause time.Duration
 	// InvalidPause is a time for a pause that was ignored or shortened; empty if there is none.
--- a/pkg/radishfleet/departed.go
+++ b/pkg/radishfleet/departed.go
@@ -13,20 +13,22 @@
 type departedTarget struct {
 	startedUnixMilli int64
 	coldSentAt       []time.Time
+	saidColdUntil    time.Time
 	pausedUntil      time.Time
 	sentAfterPause   int
 }
 
 // rememberLimits keeps the limits on calls to a target whose record is removed.
 func (f *Fleet) rememberLimits(s *targetState) {
-	if len(s.coldSentAt) == 0 && s.pausedUntil.IsZero() {
+	if len(s.coldSentAt) == 0 && s.pausedUntil.IsZero() && s.saidColdUntil.IsZero() {
 		return
 	}
 	if f.departed == nil || len(f.departed) >= maxDeparted {
 		f.departed = make(map[string]departedTarget)
 	}
 	f.departed[s.target.Name] = departedTarget{
-		startedUnixMilli: s.target.StartedUnixMilli, coldSentAt: s.coldSentAt, pausedUntil: s.pausedUntil, sentAfterPause: s.sentAfterPause,
+		startedUnixMilli: s.target.StartedUnixMilli, coldSentAt: s.coldSentAt, saidColdUntil: s.saidColdUntil, pausedUntil: s.pausedUntil,
+		sentAfterPause: s.sentAfterPause,
 	}
 }
 
@@ -35,6 +37,6 @@
 	d, ok := f.departed[t.Name]
 	delete(f.departed, t.Name)
 	if ok && d.startedUnixMilli == t.StartedUnixMilli {
-		s.coldSentAt, s.pausedUntil, s.sentAfterPause = d.coldSentAt, d.pausedUntil, d.sentAfterPause
+		s.coldSentAt, s.saidColdUntil, s.pausedUntil, s.sentAfterPause = d.coldSentAt, d.saidColdUntil, d.pausedUntil, d.sentAfterPause
 	}
 }
--- a/pkg/radishfleet/fleet.go
+++ b/pkg/radishfleet/fleet.go
@@ -60,13 +60,15 @@
 
 // targetState is the VM's state of one target, from its record, its load reports and the outcomes of this VM's calls.
 type targetState struct {
-	target       radish.Target
-	updatedAt    time.Time
-	coldUntil    time.Time
-	coldSentAt   []time.Time
-	inFlight     int
-	reportedLoad radish.TargetLoad
-	reportedAt   time.Time
+	target     radish.Target
+	updatedAt  time.Time
+	coldUntil  time.Time
+	coldSentAt []time.Time
+	// saidColdUntil is how long the target is cold as it said in a response, whatever its record says.
+	saidColdUntil time.Time
+	inFlight      int
+	reportedLoad  radish.TargetLoad
+	reportedAt    time.Time
 	// failureRate is the moving average of failed calls as of failureRateAt; consecutiveFailures counts the failures
 	// since the last success.
 	failureRate         float64
@@ -116,7 +118,7 @@
 	s.target, s.updatedAt = t, now
 	f.recordVersion(t, now)
 	f.claimAddress(s)
-	s.coldUntil = now.Add(t.ColdRemaining)
+	s.coldUntil = later(now.Add(t.ColdRemaining), s.saidColdUntil)
 	return isChange
 }
 
--- a/pkg/radishfleet/notice.go
+++ b/pkg/radishfleet/notice.go
@@ -23,6 +23,9 @@
 	if n.Load.Reported && s != nil && s.target.StartedUnixMilli == t.StartedUnixMilli {
 		f.recordReport(s, n.Load, now)
 	}
+	if n.Cold > 0 && f.recordCold(ColdTarget{Name: t.Name, StartedUnixMilli: t.StartedUnixMilli, Until: now.Add(n.Cold)}, now) {
+		isNew = true
+	}
 	if n.Pause > 0 && s != nil && s.target.StartedUnixMilli == t.StartedUnixMilli && s.pause(now.Add(n.Pause)) {
 		isNew = true
 	}
--- a/pkg/radishroute/config.go
+++ b/pkg/radishroute/config.go
@@ -94,6 +94,8 @@
 	MaxConnections int
 	// ColdCallsPerSec is the rate of calls that a cold target can sustain; 0 means that cold targets are not limited.
 	ColdCallsPerSec float64
+	// HealthPath is the path at which targets report their health; "" means that they do not.
+	HealthPath string
 	// Batch is nil unless the targets of the service execute stages.
 	Batch *BatchSettings
 	// IsEngine is whether the targets serve models.
