Let a test wait until its VMs are linked

TestLeavingTargetAnnouncesInItsResponses failed in 1 of 16 and 3 of 40 runs: "the leaving target got 1 calls from the peer".

What it asks afterwards is as before.

--- a/e2e/announce_test.go
+++ b/e2e/announce_test.go
@@ -15,6 +15,8 @@
 func TestLeavingTargetAnnouncesInItsResponses(t *testing.T) {
 	s := newSiteCluster(t)
 	vms := []*siteVM{s.startVM("vm-1"), s.startVM("vm-2")}
+	// The VMs learn of each other from the store.
+	s.eventually("the VMs are linked", func() bool { return areLinked(vms) })
 	s.store.SetFault(radishadaptertest.FaultUnavailable)
 	leaving := s.plainTargets[0]
 	var responses atomic.Int64
