Give each port out once in the end-to-end tests

The tests picked a port that nobody listened on yet, and another VM got the same one before the first process started.

Change: freePort gives no port twice in a test process; it moves into a file of its own.

--- a/e2e/doctor_test.go
+++ b/e2e/doctor_test.go
@@ -32,8 +32,7 @@
 	if output, ok := s.runDoctor(s.newVM("front-2", s.storeAddress)); ok || !strings.Contains(output, "FAILED own record: not in the store: front-2") {
 		t.Errorf("VM that never ran: doctor printed %s", output)
 	}
-	ports := cluster{t: t}
-	if output, ok := s.runDoctor(s.newVM("front-3", ports.freePort())); ok || !strings.Contains(output, "FAILED store, config") {
+	if output, ok := s.runDoctor(s.newVM("front-3", freePort(t))); ok || !strings.Contains(output, "FAILED store, config") {
 		t.Errorf("store that does not respond: doctor printed %s", output)
 	}
 }
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -5,8 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -77,37 +75,12 @@
 	s.platform.SetVM(radish.VM{Name: target.Name, Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "ankara", Service: service, State: radish.VMLive})
 }
 
-// Range of the ports on which entry VMs listen. It lies below the kernel's ephemeral port range, as otherwise an
-// outgoing connection could take the port of a process while it restarts.
-const (
-	firstPort = 12_000
-	lastPort  = 30_000
-)
-
-// freePort returns a loopback address with a port that is currently unused.
-func (s *cluster) freePort() string {
-	const maxTries = 100
-	for range maxTries {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
-		if err != nil {
-			continue
-		}
-		address := l.Addr().String()
-		if err := l.Close(); err != nil {
-			s.t.Fatal(err)
-		}
-		return address
-	}
-	s.t.Fatalf("no free port from %d to %d found in %d tries", firstPort, lastPort, maxTries)
-	return ""
-}
-
 func (s *cluster) startEntryVM(name string) *process {
 	s.t.Helper()
-	callerAddress, peerAddress := s.freePort(), s.freePort()
+	callerAddress, peerAddress := freePort(s.t), freePort(s.t)
 	settings := fmt.Sprintf(`{"vm": {"name": %q, "data_centre": "ankara"}, "caller": {"listen": %q}, "operator": {"listen": %q},
 		"peer": {"listen": %q}, "platform": {"url": %q}, "shutdown": {"balancer_wait": "300ms", "grace": "10s"}, "log": {"level": "warn"}}`,
-		name, callerAddress, s.freePort(), peerAddress, s.platformURL)
+		name, callerAddress, freePort(s.t), peerAddress, s.platformURL)
 	file := filepath.Join(s.t.TempDir(), name+".json")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
