Check a drain in the end-to-end tests in one place

Two tests wrote the same check of a target that leaves. It is a method of the cluster now; TestSiteFollowsChanges asks the same as before.

--- a/e2e/drill_test.go
+++ b/e2e/drill_test.go
@@ -58,7 +58,7 @@
 				s.restartVM(vms[0])
 			}
 			time.Sleep(stabilityWindow)
-			s.checkDrain(vms)
+			s.checkDrain(vms, "/plain/x")
 			s.putConfig("/moved/")
 			for _, vm := range vms {
 				s.eventually(vm.name+" serves only the new path", func() bool {
@@ -83,22 +83,3 @@
 		s.t.Fatalf("entry VM %s was not ready within %v", vm.name, readyTimeout)
 	}
 }
-
-// checkDrain makes a target say in its record that it leaves, and checks that it gets no calls from 2 seconds later on.
-func (s *siteCluster) checkDrain(vms []*siteVM) {
-	s.t.Helper()
-	leaving := s.plainTargets[0]
-	s.store.Put("servers", leaving.ID, leaving.Record("plain", "bandung", "draining"))
-	time.Sleep(2 * time.Second)
-	before := len(leaving.Executions())
-	for range 10 {
-		for _, vm := range vms {
-			if status, body := s.call(vm, "/plain/x", nil); status != http.StatusOK {
-				s.t.Errorf("%s, while a target leaves: got status %d, body %q", vm.name, status, body)
-			}
-		}
-	}
-	if got := len(leaving.Executions()) - before; got > 0 {
-		s.t.Errorf("the leaving target got %d calls, want none", got)
-	}
-}
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -283,19 +283,25 @@
 			return newStatus == http.StatusOK && oldStatus == http.StatusNotFound
 		})
 	}
-	drained := s.plainTargets[0]
-	s.store.Put("servers", drained.ID, drained.Record("plain", "bandung", "draining"))
+	s.checkDrain(vms, "/moved/x")
+}
+
+// checkDrain makes a target say in its record that it leaves, and checks that it gets no calls from 2 seconds later on.
+func (s *siteCluster) checkDrain(vms []*siteVM, path string) {
+	s.t.Helper()
+	leaving := s.plainTargets[0]
+	s.store.Put("servers", leaving.ID, leaving.Record("plain", "bandung", "draining"))
 	time.Sleep(2 * time.Second)
-	before := len(drained.Executions())
+	before := len(leaving.Executions())
 	for range 10 {
 		for _, vm := range vms {
-			if status, body := s.call(vm, "/moved/x", nil); status != http.StatusOK {
-				t.Errorf("during the drain: got status %d, body %q", status, body)
+			if status, body := s.call(vm, path, nil); status != http.StatusOK {
+				s.t.Errorf("%s, while a target leaves: got status %d, body %q", vm.name, status, body)
 			}
 		}
 	}
-	if got := len(drained.Executions()) - before; got > 0 {
-		t.Errorf("the draining target got %d calls, want none", got)
+	if got := len(leaving.Executions()) - before; got > 0 {
+		s.t.Errorf("the leaving target got %d calls, want none", got)
 	}
 }
 
