--- a/e2e/announce_test.go
+++ b/e2e/announce_test.go
@@ -59,9 +59,10 @@
 	const pause = 1500 * time.Millisecond
 	s := newSiteCluster(t)
 	vm := s.startVM("vm-1")
-	var arrivals atomic.Int64
+	var arrivals, lastArrival atomic.Int64
 	rejects := func(w http.ResponseWriter, _ *http.Request) bool {
 		arrivals.Add(1)
+		lastArrival.Store(time.Now().UnixMilli())
 		w.Header().Set("Not-Executed", "1")
 		w.Header().Set("Retry-After", "1.5")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -78,7 +79,7 @@
 		}
 	}
 	if n := arrivals.Load() - before; n > 0 {
-		t.Errorf("the paused target got %d calls", n)
+		t.Errorf("the paused target got %d calls, the last one %d ms after its pause began", n, lastArrival.Load()-pausedAt.UnixMilli())
 	}
 	s.plainTargets[1].SetInterceptor(rejects)
 	s.call(vm, "/plain/x", nil)
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -75,12 +75,13 @@
 	return target
 }
 
-// putConfig writes a new configuration version in which the route named plain has the given path prefix.
-func (s *siteCluster) putConfig(prefix string) {
+// putConfig writes a new configuration version in which the plain targets have a route with the given path prefix, and returns the version.
+func (s *siteCluster) putConfig(prefix string) (version int) {
 	s.configMu.Lock()
 	defer s.configMu.Unlock()
 	s.configVersion++
 	s.writeConfig(prefix)
+	return s.configVersion
 }
 
 // rewriteConfig writes the newest configuration version once more.
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -299,8 +299,7 @@
 				s.store.SetFault(radishadaptertest.FaultNone)
 			})
 		case 4:
-			s.putConfig("/plain/")
-			s.log("new configuration version %d", s.configVersion)
+			s.log("new configuration version %d", s.putConfig("/plain/"))
 		case 5:
 			faults.Go(func() { s.signal(vm, syscall.SIGSTOP, duration) })
 		case 6:
