Decide once a second which VM asks a target for its health

Found by reading the diff: while the store was away, each VM computed ten times a second for every target which VM asks it, with a new list of the available VMs each time, also for targets that others ask. With hundreds of VMs and targets this takes processor time when it is least to spare.

Change: the list is read once a step, and each target is decided once in the interval of the checks. What is asked, and how often, is as before.

The processor time was not measured.

--- a/internal/radishsite/cold_probe.go
+++ b/internal/radishsite/cold_probe.go
@@ -26,39 +26,50 @@
 	checker radish.TargetHealthChecker
 	log     hclog.Logger
 
-	askedAt map[string]time.Time
-	slots   chan struct{}
-	checks  sync.WaitGroup
+	// dueAt holds, by name, when it is next decided which VM asks the target.
+	dueAt  map[string]time.Time
+	slots  chan struct{}
+	checks sync.WaitGroup
 }
 
 // Run asks targets until ctx ends.
 func (p *coldProber) Run(ctx context.Context) error {
-	p.askedAt, p.slots = make(map[string]time.Time), make(chan struct{}, maxColdProbes)
+	p.dueAt, p.slots = make(map[string]time.Time), make(chan struct{}, maxColdProbes)
 	defer p.checks.Wait()
 	return radish.Every(ctx, coldProbeTick, func(now time.Time) { p.step(ctx, now) })
 }
 
 func (p *coldProber) step(ctx context.Context, now time.Time) {
 	if !p.server.state.isStoreUnreachable() || !p.server.peers.lacksStorePeer() {
-		clear(p.askedAt)
+		clear(p.dueAt)
 		return
 	}
 	cfg := p.server.state.config.Load()
 	if cfg == nil {
 		return
 	}
+	vms := p.server.peers.availableVMs()
 	for _, service := range cfg.Services {
 		if service.ColdCallsPerSec <= 0 || service.HealthPath == "" {
 			continue
 		}
 		for _, t := range p.server.fleet.WarmTargets(service.Name, now) {
-			if now.Sub(p.askedAt[t.Name]) >= coldProbeInterval && p.server.peers.isProberOf(t.Name) && !p.ask(ctx, t, service.HealthPath) {
+			if now.Before(p.dueAt[t.Name]) {
+				continue
+			}
+			if p.isProberOf(t, vms) && !p.ask(ctx, t, service.HealthPath) {
 				return
 			}
+			p.dueAt[t.Name] = now.Add(coldProbeInterval)
 		}
 	}
 }
 
+// isProberOf reports whether this VM is the one of the given VMs that asks the target.
+func (p *coldProber) isProberOf(t radish.Target, vms []string) bool {
+	return radish.RendezvousOwners(vms, "health/"+t.Name, 1)[0] == p.server.peers.self.Name
+}
+
 // ask starts a health check of the target, and reports whether there was a slot for it.
 func (p *coldProber) ask(ctx context.Context, t radish.Target, path string) bool {
 	select {
@@ -66,7 +77,6 @@
 	default:
 		return false
 	}
-	p.askedAt[t.Name] = time.Now()
 	p.checks.Go(func() {
 		defer func() { <-p.slots }()
 		ctx, cancel := context.WithTimeout(ctx, coldProbeTimeout)
--- a/internal/radishsite/duty.go
+++ b/internal/radishsite/duty.go
@@ -74,11 +74,6 @@
 	return slices.Contains(radish.RendezvousOwners(p.storeVMs(), key, n), p.self.Name)
 }
 
-// isProberOf reports whether this VM is the one of the available VMs that asks the target for its health.
-func (p *peerManager) isProberOf(target string) bool {
-	return radish.RendezvousOwners(p.availableVMs(), "health/"+target, 1)[0] == p.self.Name
-}
-
 // storeVMs returns the available VMs without the peers that cannot reach the store.
 func (p *peerManager) storeVMs() []string {
 	names := p.availableVMs()
