--- /dev/null
+++ b/internal/radishconn/drop.go
@@ -0,0 +1,53 @@
+package radishconn
+
+import "time"
+
+// Cause is why a connection was closed.
+type Cause string
+
+// Causes of the end of a connection on which the head of a request had begun to arrive.
+const (
+	// CauseIdle is the limit on the time without a request.
+	CauseIdle Cause = "idle"
+	// CauseDisplaced is a new connection at the limit on open connections.
+	CauseDisplaced Cause = "displaced"
+	// CauseMemory is a lack of memory.
+	CauseMemory Cause = "memory"
+	// CauseRead is an error of reading: the caller left, or was too slow.
+	CauseRead Cause = "read"
+	// CauseServer is the HTTP server, which closes connections when it shuts down.
+	CauseServer Cause = "server"
+)
+
+// Drop describes a connection that was closed without an answer to a request whose head had begun to arrive.
+type Drop struct {
+	Remote string
+	Cause  Cause
+	// HeadBytes is how much of the head was read, IsWhole whether that was all of it, and Age the time since its first byte was read.
+	HeadBytes int
+	IsWhole   bool
+	Age       time.Duration
+}
+
+// drop returns what the end of the connection drops; false if there is no such request. The caller holds the lock.
+func (c *Conn) drop() (Drop, bool) {
+	if !c.isHead || c.headBytes == 0 || c.hasAnswer || c.isClosed {
+		return Drop{}, false
+	}
+	cause := c.cause
+	if cause == "" {
+		cause = CauseServer
+	}
+	return Drop{
+		Remote: c.RemoteAddr().String(), Cause: cause, HeadBytes: c.headBytes, IsWhole: c.isWhole, Age: time.Since(c.beganAt),
+	}, true
+}
+
+// setCause sets why the connection is about to be closed, unless a cause is known.
+func (c *Conn) setCause(cause Cause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cause == "" {
+		c.cause = cause
+	}
+}
--- a/internal/radishconn/head.go
+++ b/internal/radishconn/head.go
@@ -22,6 +22,9 @@
 	readAheadBytes = 4 << 10
 )
 
+// endOfHead ends the head of a request.
+var endOfHead = []byte("\r\n\r\n")
+
 // ErrHeadTooLarge is the error of reading a head beyond the limit or without memory for it.
 var ErrHeadTooLarge = errors.New("head of the request is larger than the limit, or memory is short")
 
@@ -31,6 +34,8 @@
 	Account *radishmemory.Account
 	// MaxHeadBytes returns the configuration's limit on the head of a request.
 	MaxHeadBytes func() int
+	// OnDrop is called when a connection is closed without an answer to a request whose head had begun to arrive; nil if nobody is told.
+	OnDrop func(Drop)
 }
 
 // Accept implements net.Listener.
@@ -54,6 +59,12 @@
 	isHead    bool
 	headBytes int
 	head      *radishmemory.Grant
+	// beganAt is when the first byte of the head was read, isWhole whether its end was, and hasAnswer whether anything has been written since.
+	beganAt            time.Time
+	isWhole, hasAnswer bool
+	// cause is why the connection is closed; empty if not known.
+	cause    Cause
+	isClosed bool
 }
 
 // BeginHead must be called when the connection starts to wait for a request. It releases the memory of the last head.
@@ -63,6 +74,7 @@
 	c.head.Close()
 	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 	c.isHead, c.headBytes, c.head = true, 0, c.listener.Account.Open(host, c.CutOff)
+	c.isWhole, c.hasAnswer = false, false
 }
 
 // EndHead must be called when the head of a request has been read.
@@ -79,9 +91,20 @@
 	if n > 0 && !c.countHead(p[:n]) {
 		return 0, ErrHeadTooLarge
 	}
+	if err != nil {
+		c.setCause(CauseRead)
+	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.hasAnswer = true
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
 // countHead counts bytes of a head and reports whether there is memory for them.
 func (c *Conn) countHead(p []byte) bool {
 	c.mu.Lock()
@@ -89,7 +112,11 @@
 	if !c.isHead {
 		return true
 	}
+	if c.headBytes == 0 {
+		c.beganAt = time.Now()
+	}
 	c.headBytes += len(p)
+	c.isWhole = c.isWhole || bytes.Contains(p, endOfHead)
 	if c.headBytes > max(minHeadBytes, 2*c.listener.MaxHeadBytes())+readAheadBytes {
 		return false
 	}
@@ -97,13 +124,21 @@
 }
 
 // CutOff makes pending and later reads and writes fail.
-func (c *Conn) CutOff() { _ = c.SetDeadline(time.Unix(1, 0)) }
+func (c *Conn) CutOff() {
+	c.setCause(CauseMemory)
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mu.Lock()
+	drop, isDrop := c.drop()
+	c.isClosed = true
 	c.head.Close()
 	c.mu.Unlock()
+	if isDrop && c.listener.OnDrop != nil {
+		c.listener.OnDrop(drop)
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/radishconn/limiter.go
+++ b/internal/radishconn/limiter.go
@@ -123,16 +123,19 @@
 		if c.isNew && now.Sub(c.since) < minNewAge {
 			continue
 		}
-		l.close(c)
+		l.close(c, CauseDisplaced)
 		return true
 	}
 	return false
 }
 
 // close closes an unused connection. The caller holds the lock.
-func (l *Limiter) close(c *conn) {
+func (l *Limiter) close(c *conn, cause Cause) {
 	l.closed++
 	l.remove(c)
+	if counted, ok := c.Conn.(*Conn); ok {
+		counted.setCause(cause)
+	}
 	_ = c.Close()
 }
 
@@ -187,7 +190,7 @@
 			timeout = headerTimeout
 		}
 		if timeout > 0 && now.Sub(c.since) >= timeout {
-			l.close(c)
+			l.close(c, CauseIdle)
 		}
 	}
 }
--- a/internal/radishmetric/metric.go
+++ b/internal/radishmetric/metric.go
@@ -31,6 +31,7 @@
 	callPieces     metric.Int64Histogram
 	versionCalls   metric.Int64Counter
 	versionErrors  metric.Int64Counter
+	drops          metric.Int64Counter
 
 	mu sync.RWMutex
 	// options caches the attribute sets of measurements by instrument and attribute values.
@@ -53,7 +54,7 @@
 }
 
 func (m *Metrics) createInstruments() error {
-	var errs [12]error
+	var errs [13]error
 	m.requests, errs[0] = m.meter.Int64Counter("radishramp_requests", metric.WithDescription("Requests by pipeline and outcome."))
 	m.requestSeconds, errs[1] = m.meter.Float64Histogram("radishramp_request_seconds",
 		metric.WithDescription("Time from a request's arrival to the end of its answer."),
@@ -73,6 +74,8 @@
 	m.versionErrors, errs[10] = m.meter.Int64Counter("radishramp_version_failures",
 		metric.WithDescription("Responses that count as failures of the version, by service and version."))
 	m.hedges, errs[11] = m.meter.Int64Counter("radishramp_hedges", metric.WithDescription("Copies of slow calls by service and result: sent, answered first, or why denied."))
+	m.drops, errs[12] = m.meter.Int64Counter("radishramp_dropped_requests",
+		metric.WithDescription("Requests whose head had begun to arrive when their connection was closed without an answer, by cause and how much of the head was read."))
 	return trace.NewAggregate(errs[:]...)
 }
 
@@ -100,6 +103,7 @@
 		"call":    {"service", "result"},
 		"pieces":  {"service", ""},
 		"version": {"service", "version"},
+		"drop":    {"cause", "head"},
 	}[instrument]
 	attributes := []attribute.KeyValue{attribute.String(names[0], first)}
 	if names[1] != "" {
@@ -122,6 +126,13 @@
 	m.requestSeconds.Record(context.Background(), duration.Seconds(), option)
 }
 
+// RecordDrop records a request that was dropped with its connection, for the cause; head is "whole" or "part".
+func (m *Metrics) RecordDrop(cause, head string) {
+	if m != nil {
+		m.drops.Add(context.Background(), 1, m.attributeOption("drop", cause, head))
+	}
+}
+
 // RecordAttempt records a finished attempt.
 func (m *Metrics) RecordAttempt(service, result string) {
 	if m != nil {
