Keep connections open whose next request has been read

What callers saw: a request was read and executed, and its connection was closed without an answer.

Cause: the limiter closed unused connections from another goroutine, by the state that net/http reports. That state changes only after the whole head has been read and decoded. The same holds for closing in favour of a new connection.

Change: a connection is unused until the first byte of its next request has been read, and it decides that under its own lock. The limiter no longer closes it: it lets the next read fail, so only the goroutine that reads closes it, and a read that has returned data takes the end back. That read looks once more for data that the kernel already has. Two goroutines can no longer disagree on whether there is a request. The header timeout of the configuration becomes a deadline of the connection, so it also holds for heads of which a part has arrived.

--- /dev/null
+++ b/internal/radishconn/conn.go
@@ -0,0 +1,243 @@
+package radishconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"radishramp.example/radishramp/internal/radishmemory"
+)
+
+// phase is what a connection does.
+type phase int
+
+const (
+	// phaseWaiting is the time in which no byte of the next request has been read: the connection is unused.
+	phaseWaiting phase = iota
+	// phaseHead is the time from the first byte of a request until its handler starts.
+	phaseHead
+	// phaseRequest is the time in which the handler runs.
+	phaseRequest
+)
+
+// expired is a deadline in the past: reads and writes with it fail at once.
+var expired = time.Unix(1, 0)
+
+// Conn is a connection of a caller. Only the goroutine that reads from it closes it: others end it by letting its next read
+// fail, so that a request that has been read is always handled.
+type Conn struct {
+	net.Conn
+	listener   *HeadListener
+	acceptedAt time.Time
+
+	mu    sync.Mutex
+	phase phase
+	// isNew is whether no request has been handled on the connection yet.
+	isNew bool
+	// isEnding is whether reads fail since the connection is to be closed. readDeadline is the deadline of the HTTP server.
+	isEnding     bool
+	readDeadline time.Time
+	// headBytes is how much of the head has been read; head holds its memory until the request ends.
+	headBytes int
+	head      *radishmemory.Grant
+	// beganAt is when the first byte of the head was read, isWhole whether its end was, and hasAnswer whether anything has been written since.
+	beganAt            time.Time
+	isWhole, hasAnswer bool
+	// isCut is whether reading failed before the end of the head.
+	isCut bool
+	// cause is why the connection is closed; empty if not known.
+	cause    Cause
+	isClosed bool
+}
+
+// BeginHead must be called when the connection starts to wait for a request. It releases the memory of the last head.
+func (c *Conn) BeginHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isNew = false
+	c.waitForHead()
+}
+
+func (c *Conn) waitForHead() {
+	c.head.Close()
+	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	c.phase, c.headBytes, c.head = phaseWaiting, 0, c.listener.Account.Open(host, c.CutOff)
+	c.isWhole, c.hasAnswer, c.isCut, c.cause = false, false, false, ""
+}
+
+// EndHead must be called when the head of a request has been read.
+func (c *Conn) EndHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseRequest
+	c.keep()
+	c.head.SetState(radishmemory.Running, time.Now())
+}
+
+// end makes the connection close unless it has a request, and reports whether it may. It does not interrupt a head of which a part
+// has arrived.
+func (c *Conn) end(cause Cause) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseWaiting {
+		return false
+	}
+	c.isEnding, c.cause = true, cause
+	_ = c.Conn.SetReadDeadline(expired)
+	return true
+}
+
+// keep takes back the end of the connection, since it has a request. The caller holds the lock.
+func (c *Conn) keep() {
+	if !c.isEnding {
+		return
+	}
+	c.isEnding, c.cause = false, ""
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
+}
+
+// Keep must be called when the HTTP server has read the head of a request, which it may have read together with the request before.
+func (c *Conn) Keep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keep()
+}
+
+// SetReadDeadline implements net.Conn. Until the head of a request has been read, the deadline is at most the listener's header timeout from
+// now on, or from the time at which a new connection was accepted.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = c.limitHead(t)
+	if c.isEnding {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(c.readDeadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// limitHead returns the read deadline that the header timeout allows. Connections that wait for another request have the idle timeout.
+func (c *Conn) limitHead(t time.Time) time.Time {
+	if c.phase == phaseRequest || c.phase == phaseWaiting && !c.isNew || t.IsZero() || c.listener.HeaderTimeout == nil {
+		return t
+	}
+	start := time.Now()
+	if c.phase == phaseWaiting {
+		start = c.acceptedAt
+	}
+	if timeout := c.listener.HeaderTimeout(); timeout > 0 && t.After(start.Add(timeout)) {
+		return start.Add(timeout)
+	}
+	return t
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isAboutToEnd() {
+		n, err = c.readArrived(p, err)
+	}
+	if n > 0 && !c.countHead(p[:n]) {
+		return 0, ErrHeadTooLarge
+	}
+	if err != nil {
+		c.noteError()
+	}
+	return n, err
+}
+
+// noteError notes that reading failed.
+func (c *Conn) noteError() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cause == "" {
+		c.cause = CauseRead
+	}
+	c.isCut = c.phase != phaseRequest && !c.isWhole
+}
+
+func (c *Conn) isAboutToEnd() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isEnding
+}
+
+// readArrived reads data that the kernel has received already, or returns the error if there is none. A VM that is behind with its work
+// must not close a connection on which a request waits to be read.
+func (c *Conn) readArrived(p []byte, err error) (int, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, err
+	}
+	raw, rawErr := socket.SyscallConn()
+	if rawErr != nil {
+		return 0, err
+	}
+	// A read with an expired deadline does not look for data.
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	n := 0
+	rawErr = raw.Read(func(fd uintptr) bool {
+		n, _ = unix.Read(int(fd), p)
+		return true
+	})
+	if rawErr != nil || n <= 0 {
+		_ = c.Conn.SetReadDeadline(expired)
+		return 0, err
+	}
+	return n, nil
+}
+
+// Write implements net.Conn. It fails after a head of which only a part could be read: net/http takes a part of its first line for a
+// malformed request, and callers do not repeat what gets status 400.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	isCut := c.isCut
+	c.hasAnswer = c.hasAnswer || !isCut
+	c.mu.Unlock()
+	if isCut {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// CutOff makes pending and later reads and writes fail.
+func (c *Conn) CutOff() {
+	c.setCause(CauseMemory)
+	_ = c.Conn.SetDeadline(expired)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	drop, isDrop := c.drop()
+	c.isClosed = true
+	c.head.Close()
+	c.mu.Unlock()
+	if isDrop && c.listener.OnDrop != nil {
+		c.listener.OnDrop(drop)
+	}
+	return c.Conn.Close()
+}
+
+type connKey struct{}
+
+// WithConn is the ConnContext function of an HTTP server: requests of the connection can find it by [ConnOf].
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ConnOf returns the connection of a request, or nil if it is not a *Conn.
+func ConnOf(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
--- a/internal/radishconn/drop.go
+++ b/internal/radishconn/drop.go
@@ -31,7 +31,7 @@
 
 // drop returns what the end of the connection drops; false if there is no such request. The caller holds the lock.
 func (c *Conn) drop() (Drop, bool) {
-	if !c.isHead || c.headBytes == 0 || c.hasAnswer || c.isClosed {
+	if c.phase != phaseHead || c.hasAnswer || c.isClosed {
 		return Drop{}, false
 	}
 	cause := c.cause
--- a/internal/radishconn/limiter.go
+++ b/internal/radishconn/limiter.go
@@ -32,28 +32,32 @@
 	Log                        hclog.Logger
 
 	mu    sync.Mutex
-	conns map[net.Conn]*conn
-	// unused holds the connections without a request, in the order in which they became so.
+	conns map[net.Conn]*entry
+	// ending is the number of connections that are about to be closed as unused; they no longer count as open.
+	ending int
+	// unused holds the connections without a request that are not ending, in the order in which they became so.
 	unused   list.List
 	refused  int64
 	closed   int64
 	loggedAt time.Time
 }
 
-// conn is an open connection.
-type conn struct {
-	net.Conn
-	isNew bool
+// entry is an open connection.
+type entry struct {
+	conn *Conn
+	// isNew is whether it has had no request yet, isEnding whether it is about to be closed as unused.
+	isNew, isEnding bool
 	// since is when the connection was accepted or its last request ended.
 	since time.Time
-	// element is the connection's place in Limiter.unused; nil while it has a request.
+	// element is the connection's place in Limiter.unused; nil while it has a request or is ending.
 	element *list.Element
 }
 
 // Stats counts the connections of a [Limiter].
 type Stats struct {
 	Open int
-	// Refused is the number of connections that were closed when they were accepted, Closed that of unused ones that were closed later.
+	// Refused is the number of connections that were closed when they were accepted, Closed that of unused ones that were closed later
+	// or are about to be.
 	Refused, Closed int64
 }
 
@@ -61,24 +65,27 @@
 func (l *Limiter) Stats() Stats {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Stats{Open: len(l.conns), Refused: l.refused, Closed: l.closed}
+	return Stats{Open: l.open(), Refused: l.refused, Closed: l.closed}
 }
 
+// open returns the number of connections that are not about to be closed. The caller holds the lock.
+func (l *Limiter) open() int { return len(l.conns) - l.ending }
+
 // Listener returns a listener that accepts connections of the inner one within the limit. It closes those beyond the limit, unless an
 // unused one can be closed instead.
-func (l *Limiter) Listener(inner net.Listener) net.Listener {
-	return &listener{Listener: inner, limiter: l}
+func (l *Limiter) Listener(inner *HeadListener) net.Listener {
+	return &listener{HeadListener: inner, limiter: l}
 }
 
 type listener struct {
-	net.Listener
+	*HeadListener
 	limiter *Limiter
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
@@ -90,20 +97,20 @@
 }
 
 // admit registers the connection, or returns false if there are too many.
-func (l *Limiter) admit(c net.Conn, now time.Time) bool {
+func (l *Limiter) admit(c *Conn, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if limit := l.Max(); limit > 0 && len(l.conns) >= limit && !l.closeOldestUnused(now) {
+	if limit := l.Max(); limit > 0 && l.open() >= limit && !l.closeOldestUnused(now) {
 		l.refused++
 		l.logRefusal(limit, now)
 		return false
 	}
 	if l.conns == nil {
-		l.conns = make(map[net.Conn]*conn)
+		l.conns = make(map[net.Conn]*entry)
 	}
-	entry := &conn{Conn: c, isNew: true, since: now}
-	entry.element = l.unused.PushBack(entry)
-	l.conns[c] = entry
+	e := &entry{conn: c, isNew: true, since: now}
+	e.element = l.unused.PushBack(e)
+	l.conns[c] = e
 	return true
 }
 
@@ -113,62 +120,90 @@
 		return
 	}
 	l.loggedAt = now
-	l.Log.Warn("caller's connection refused, too many are open", "open", len(l.conns), "limit", limit, "refused", l.refused, "closed", l.closed)
+	l.Log.Warn("caller's connection refused, too many are open", "open", l.open(), "limit", limit, "refused", l.refused, "closed", l.closed)
 }
 
 // closeOldestUnused closes the connection that has been without a request for the longest time and reports whether there was one.
 func (l *Limiter) closeOldestUnused(now time.Time) bool {
-	for e := l.unused.Front(); e != nil; e = e.Next() {
-		c := e.Value.(*conn)
-		if c.isNew && now.Sub(c.since) < minNewAge {
+	for element := l.unused.Front(); element != nil; {
+		e := element.Value.(*entry)
+		element = element.Next()
+		if e.isNew && now.Sub(e.since) < minNewAge {
 			continue
 		}
-		l.close(c, CauseDisplaced)
-		return true
+		if l.end(e, CauseDisplaced) {
+			return true
+		}
 	}
 	return false
 }
 
-// close closes an unused connection. The caller holds the lock.
-func (l *Limiter) close(c *conn, cause Cause) {
+// end makes a connection close as unused and reports whether it was unused: its next request may have been read already, although the HTTP
+// server has not reported that yet. The caller holds the lock.
+func (l *Limiter) end(e *entry, cause Cause) bool {
+	if !e.conn.end(cause) {
+		return false
+	}
+	l.unlist(e)
+	e.isEnding = true
+	l.ending++
 	l.closed++
-	l.remove(c)
-	if counted, ok := c.Conn.(*Conn); ok {
-		counted.setCause(cause)
+	return true
+}
+
+// unlist takes the connection out of the list of the unused ones.
+func (l *Limiter) unlist(e *entry) {
+	if e.element != nil {
+		l.unused.Remove(e.element)
+		e.element = nil
 	}
-	_ = c.Close()
 }
 
-func (l *Limiter) remove(c *conn) {
-	delete(l.conns, c.Conn)
-	if c.element != nil {
-		l.unused.Remove(c.element)
-		c.element = nil
+// keep notes that a connection that was to be closed is not, since a request arrived just before.
+func (l *Limiter) keep(e *entry) {
+	if e.isEnding {
+		e.isEnding = false
+		l.ending--
+		l.closed--
 	}
 }
 
 // ConnState is the server's hook for changes of a connection's state.
 func (l *Limiter) ConnState(c net.Conn, state http.ConnState) {
+	conn, ok := c.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		conn.Keep()
+	case http.StateIdle:
+		conn.BeginHead()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	entry := l.conns[c]
-	if entry == nil {
-		return
+	if e := l.conns[c]; e != nil {
+		l.changeState(e, state)
 	}
+}
+
+func (l *Limiter) changeState(e *entry, state http.ConnState) {
 	switch state {
 	case http.StateActive:
-		entry.isNew = false
-		if entry.element != nil {
-			l.unused.Remove(entry.element)
-			entry.element = nil
-		}
+		e.isNew = false
+		l.keep(e)
+		l.unlist(e)
 	case http.StateIdle:
-		entry.since = time.Now()
-		if entry.element == nil {
-			entry.element = l.unused.PushBack(entry)
+		e.since = time.Now()
+		if e.element == nil {
+			e.element = l.unused.PushBack(e)
 		}
 	case http.StateClosed, http.StateHijacked:
-		l.remove(entry)
+		l.unlist(e)
+		if e.isEnding {
+			l.ending--
+		}
+		delete(l.conns, e.conn)
 	}
 }
 
@@ -182,15 +217,15 @@
 	headerTimeout, idleTimeout := l.HeaderTimeout(), l.IdleTimeout()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for e := l.unused.Front(); e != nil; {
-		c := e.Value.(*conn)
-		e = e.Next()
+	for element := l.unused.Front(); element != nil; {
+		e := element.Value.(*entry)
+		element = element.Next()
 		timeout := idleTimeout
-		if c.isNew {
+		if e.isNew {
 			timeout = headerTimeout
 		}
-		if timeout > 0 && now.Sub(c.since) >= timeout {
-			l.close(c, CauseIdle)
+		if timeout > 0 && now.Sub(e.since) >= timeout {
+			l.end(e, CauseIdle)
 		}
 	}
 }
--- a/internal/radishconn/server_test.go
+++ b/internal/radishconn/server_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,13 +21,15 @@
 type testServer struct {
 	t       *testing.T
 	limiter *Limiter
+	heads   *HeadListener
 	http    *http.Server
 	address string
 	// onRead is called once, after the next data of a caller has been read and before the HTTP server gets it.
 	onRead atomic.Pointer[func()]
 	drops  chan Drop
 	// handled counts the requests that reached the handler.
-	handled atomic.Int64
+	handled   atomic.Int64
+	startOnce sync.Once
 }
 
 // hookListener accepts connections that call the server's onRead.
@@ -56,7 +59,7 @@
 	return n, err
 }
 
-// newTestServer starts a server that accepts up to limit connections; 0 means no limit.
+// newTestServer returns a server that accepts up to limit connections; 0 means no limit. It serves from the first dial on.
 func newTestServer(t *testing.T, limit int) *testServer {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
@@ -74,24 +77,24 @@
 			ConnOf(r.Context()).EndHead()
 		}),
 		ConnContext: WithConn,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			if conn, ok := c.(*Conn); ok && state == http.StateIdle {
-				conn.BeginHead()
-			}
-			s.limiter.ConnState(c, state)
-		},
+		ConnState:   s.limiter.ConnState,
 	}
-	heads := &HeadListener{
+	s.heads = &HeadListener{
 		Listener: &hookListener{Listener: inner, server: s}, MaxHeadBytes: func() int { return 1 << 20 }, OnDrop: func(d Drop) { s.drops <- d },
 	}
-	go func() { _ = s.http.Serve(s.limiter.Listener(heads)) }()
 	t.Cleanup(func() { _ = s.http.Close() })
 	return s
 }
 
+// start serves on the first call.
+func (s *testServer) start() {
+	s.startOnce.Do(func() { go func() { _ = s.http.Serve(s.limiter.Listener(s.heads)) }() })
+}
+
 // dial opens a connection of a caller.
 func (s *testServer) dial() *testCaller {
 	s.t.Helper()
+	s.start()
 	c, err := net.DialTimeout("tcp", s.address, testTimeout)
 	if err != nil {
 		s.t.Fatal(err)
@@ -154,6 +157,20 @@
 
 // TestDropsAreReported guards against requests that end with their connection and leave no trace of why.
 func TestDropsAreReported(t *testing.T) {
+	t.Run("the caller leaves", func(t *testing.T) {
+		s := newTestServer(t, 0)
+		c := s.dial()
+		const part = "GET / HTTP/1.1\r\n"
+		if err := c.send(part); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if d := s.awaitDrop(); d.Cause != CauseRead || d.IsWhole || d.HeadBytes != len(part) {
+			t.Errorf("got %+v", d)
+		}
+	})
 	t.Run("the server is closed", func(t *testing.T) {
 		s := newTestServer(t, 0)
 		c, read := s.dial(), make(chan struct{})
--- a/internal/radishconn/unused_test.go
+++ b/internal/radishconn/unused_test.go
@@ -1,9 +1,16 @@
 package radishconn
 
 import (
+	"errors"
+	"io"
+	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // TestRequestReadAsConnectionIsClosedIsAnswered guards against a request that is read, loses its connection, which passes for unused until
@@ -16,7 +23,7 @@
 		closeUnused func(l *Limiter)
 	}{
 		{"idle timeout", 0, func(l *Limiter) { l.sweep(time.Now().Add(time.Hour)) }},
-		{"new connection at the limit", 1, func(l *Limiter) { l.admit(&fakeConn{}, time.Now().Add(time.Hour)) }},
+		{"new connection at the limit", 1, func(l *Limiter) { l.admit(newTestConn().Conn, time.Now().Add(time.Hour)) }},
 	}
 	for _, tc := range tests {
 		for _, isKept := range []bool{true, false} {
@@ -41,3 +48,82 @@
 		}
 	}
 }
+
+// TestArrivedRequestIsReadBeforeClose guards against a VM that is behind with its work and closes a connection as unused on which a request
+// has been waiting to be read.
+func TestArrivedRequestIsReadBeforeClose(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = inner.Close() }()
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	conn, err := (&HeadListener{Listener: inner}).accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(caller, testRequest); err != nil {
+		t.Fatal(err)
+	}
+	waitForData(t, conn)
+	if !conn.end(CauseIdle) {
+		t.Fatal("the connection counts as used before its request is read")
+	}
+	buf := make([]byte, 2*len(testRequest))
+	if n, err := conn.Read(buf); n != len(testRequest) {
+		t.Errorf("read %d of %d bytes that had arrived, error %v", n, len(testRequest), err)
+	}
+	conn.BeginHead()
+	if !conn.end(CauseIdle) {
+		t.Error("an unused connection is not closed")
+	}
+	if n, err := conn.Read(buf); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read on a connection without data that is to be closed: %d bytes, error %v", n, err)
+	}
+}
+
+// waitForData waits until the kernel has data for the connection.
+func waitForData(t *testing.T, conn *Conn) {
+	t.Helper()
+	raw, err := conn.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, _ := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK)
+		return n > 0
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestPartOfHeadTimesOut guards against callers that send a part of a head and hold their connection, which is not unused, for longer than
+// the configuration allows.
+func TestPartOfHeadTimesOut(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	for _, isKept := range []bool{true, false} {
+		s := newTestServer(t, 0)
+		s.http.ReadHeaderTimeout = time.Minute
+		s.heads.HeaderTimeout = func() time.Duration { return timeout }
+		c := s.dial()
+		if isKept {
+			s.mustExchange(c)
+		}
+		startedAt := time.Now()
+		if err := c.send(testRequest[:10]); err != nil {
+			t.Fatal(err)
+		}
+		if status, err := c.status(); err == nil {
+			t.Errorf("kept %t: status %d", isKept, status)
+		}
+		if took := time.Since(startedAt); took < timeout/2 || took > testTimeout {
+			t.Errorf("kept %t: the connection was closed after %v, want after %v", isKept, took, timeout)
+		}
+	}
+}
--- a/internal/radishsite/memory.go
+++ b/internal/radishsite/memory.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -37,7 +36,7 @@
 // callerListener wraps the listener for callers so that connections are limited and heads of requests count towards the memory budget.
 func (s *Server) callerListener(inner net.Listener) net.Listener {
 	return s.callerConns.Listener(&radishconn.HeadListener{
-		Listener: inner, Account: s.memory, MaxHeadBytes: s.maxHeaderBytes, OnDrop: s.recordDrop,
+		Listener: inner, Account: s.memory, MaxHeadBytes: s.maxHeaderBytes, HeaderTimeout: s.headerTimeout, OnDrop: s.recordDrop,
 	})
 }
 
@@ -60,14 +59,6 @@
 	return 0
 }
 
-// callerConnState is the hook for changes of the state of a caller's connection.
-func (s *Server) callerConnState(c net.Conn, state http.ConnState) {
-	if conn, ok := c.(*radishconn.Conn); ok && state == http.StateIdle {
-		conn.BeginHead()
-	}
-	s.callerConns.ConnState(c, state)
-}
-
 func (s *Server) registerMemoryGauges() error {
 	gauges := []struct {
 		name, description string
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -171,7 +171,7 @@
 	defer stop()
 	callerServer := &http.Server{
 		Handler: s.trackInFlight(s.containPanics(s.callerHandler())), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ConnContext: radishconn.WithConn, ConnState: s.callerConnState,
+		ConnContext: radishconn.WithConn, ConnState: s.callerConns.ConnState,
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
 	var group run.Group
