Answer requests that are read while a VM stops

What callers saw: a request on a connection that the VM had accepted was read after the VM had stopped accepting, and its connection was closed without an answer and without a line in the log.

Cause: http.Server.Shutdown. From its call on, net/http returns from a connection right after it has read a head, and it closes connections by the same late state as the limiter did.

Connections know whether a request has been read, so none is dropped. The class: a decision to close by a state that lags behind what has been read.

--- a/internal/radishconn/conn.go
+++ b/internal/radishconn/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -20,8 +21,10 @@
 const (
 	// phaseWaiting is the time in which no byte of the next request has been read: the connection is unused.
 	phaseWaiting phase = iota
-	// phaseHead is the time from the first byte of a request until its handler starts.
+	// phaseHead is the time from the first byte of a request until its head has been decoded.
 	phaseHead
+	// phaseDecoded is the time until its handler starts.
+	phaseDecoded
 	// phaseRequest is the time in which the handler runs.
 	phaseRequest
 )
@@ -93,6 +96,17 @@
 	return true
 }
 
+// endHead makes a connection close on which a head has begun to arrive and does not go on. It does not affect a head that was read whole.
+func (c *Conn) endHead(cause Cause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseHead {
+		return
+	}
+	c.isEnding, c.cause = true, cause
+	_ = c.Conn.SetReadDeadline(expired)
+}
+
 // keep takes back the end of the connection, since it has a request. The caller holds the lock.
 func (c *Conn) keep() {
 	if !c.isEnding {
@@ -102,10 +116,11 @@
 	_ = c.Conn.SetReadDeadline(c.readDeadline)
 }
 
-// Keep must be called when the HTTP server has read the head of a request, which it may have read together with the request before.
-func (c *Conn) Keep() {
+// Decoded must be called when the HTTP server has decoded the head of a request, which it may have read together with the request before.
+func (c *Conn) Decoded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.phase = phaseDecoded
 	c.keep()
 }
 
@@ -128,7 +143,7 @@
 
 // limitHead returns the read deadline that the header timeout allows. Connections that wait for another request have the idle timeout.
 func (c *Conn) limitHead(t time.Time) time.Time {
-	if c.phase == phaseRequest || c.phase == phaseWaiting && !c.isNew || t.IsZero() || c.listener.HeaderTimeout == nil {
+	if c.phase >= phaseDecoded || c.phase == phaseWaiting && !c.isNew || t.IsZero() || c.listener.HeaderTimeout == nil {
 		return t
 	}
 	start := time.Now()
@@ -163,7 +178,7 @@
 	if c.cause == "" {
 		c.cause = CauseRead
 	}
-	c.isCut = c.phase != phaseRequest && !c.isWhole
+	c.isCut = c.phase < phaseDecoded && !c.isWhole
 }
 
 func (c *Conn) isAboutToEnd() bool {
@@ -241,3 +256,13 @@
 	c, _ := ctx.Value(connKey{}).(*Conn)
 	return c
 }
+
+// Handler returns a handler that ends the heads of requests before it calls the next one.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := ConnOf(r.Context()); c != nil {
+			c.EndHead()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/radishconn/drop.go
+++ b/internal/radishconn/drop.go
@@ -1,6 +1,12 @@
 package radishconn
 
-import "time"
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"radishramp.example/radishramp/internal/radishmetric"
+)
 
 // Cause is why a connection was closed.
 type Cause string
@@ -15,7 +21,9 @@
 	CauseMemory Cause = "memory"
 	// CauseRead is an error of reading: the caller left, or was too slow.
 	CauseRead Cause = "read"
-	// CauseServer is the HTTP server, which closes connections when it shuts down.
+	// CauseStop is the end of the VM.
+	CauseStop Cause = "stop"
+	// CauseServer is the HTTP server, which closes the connections that are left when it ends.
 	CauseServer Cause = "server"
 )
 
@@ -31,7 +39,7 @@
 
 // drop returns what the end of the connection drops; false if there is no such request. The caller holds the lock.
 func (c *Conn) drop() (Drop, bool) {
-	if c.phase != phaseHead || c.hasAnswer || c.isClosed {
+	if c.phase == phaseWaiting || c.phase == phaseRequest || c.hasAnswer || c.isClosed {
 		return Drop{}, false
 	}
 	cause := c.cause
@@ -51,3 +59,16 @@
 		c.cause = cause
 	}
 }
+
+// DropReporter returns an OnDrop function that counts dropped requests and logs those whose head was read whole.
+func DropReporter(m *radishmetric.Metrics, log hclog.Logger) func(Drop) {
+	return func(d Drop) {
+		if !d.IsWhole {
+			m.RecordDrop(string(d.Cause), "part")
+			return
+		}
+		m.RecordDrop(string(d.Cause), "whole")
+		log.Warn("request dropped with its connection", "cause", string(d.Cause), "caller", d.Remote, "head_bytes", d.HeadBytes,
+			"age_ms", d.Age.Milliseconds())
+	}
+}
--- a/internal/radishconn/head.go
+++ b/internal/radishconn/head.go
@@ -64,7 +64,7 @@
 func (c *Conn) beginHead(p []byte) (*radishmemory.Grant, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == phaseRequest {
+	if c.phase >= phaseDecoded {
 		return nil, true
 	}
 	if c.phase == phaseWaiting {
--- a/internal/radishconn/limiter.go
+++ b/internal/radishconn/limiter.go
@@ -24,10 +24,10 @@
 
 // Limiter bounds the open connections of an HTTP server. Its exported fields must be set before first use.
 type Limiter struct {
-	// Max returns the highest number of open connections; 0 means no limit.
+	// Max returns the highest number of open connections; 0 or no function means no limit.
 	Max func() int
 	// HeaderTimeout returns how long a new connection may stay open without a request, IdleTimeout how long one may be idle between two
-	// requests; 0 means no limit.
+	// requests; 0 means no limit. Only Run uses them.
 	HeaderTimeout, IdleTimeout func() time.Duration
 	Log                        hclog.Logger
 
@@ -40,6 +40,11 @@
 	refused  int64
 	closed   int64
 	loggedAt time.Time
+
+	listener *listener
+	// isDraining is whether Drain was called, isDrained whether no connection has been open since; drained is closed then.
+	isDraining, isDrained bool
+	drained               chan struct{}
 }
 
 // entry is an open connection.
@@ -72,37 +77,20 @@
 func (l *Limiter) open() int { return len(l.conns) - l.ending }
 
 // Listener returns a listener that accepts connections of the inner one within the limit. It closes those beyond the limit, unless an
-// unused one can be closed instead.
+// unused one can be closed instead. A limiter has one listener.
 func (l *Limiter) Listener(inner *HeadListener) net.Listener {
-	return &listener{HeadListener: inner, limiter: l}
-}
-
-type listener struct {
-	*HeadListener
-	limiter *Limiter
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.limiter.admit(c, time.Now()) {
-			return c, nil
-		}
-		_ = c.Close()
-	}
+	l.listener = &listener{HeadListener: inner, limiter: l, closed: make(chan struct{})}
+	return l.listener
 }
 
-// admit registers the connection, or returns false if there are too many.
+// admit registers the connection, or returns false if there are too many or the drain has ended.
 func (l *Limiter) admit(c *Conn, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if limit := l.Max(); limit > 0 && l.open() >= limit && !l.closeOldestUnused(now) {
-		l.refused++
-		l.logRefusal(limit, now)
+	if l.isDrained {
+		return false
+	}
+	if !l.makeRoom(now) {
 		return false
 	}
 	if l.conns == nil {
@@ -114,6 +102,20 @@
 	return true
 }
 
+// makeRoom closes an unused connection at the limit and reports whether there is room for another connection.
+func (l *Limiter) makeRoom(now time.Time) bool {
+	if l.Max == nil {
+		return true
+	}
+	limit := l.Max()
+	if limit <= 0 || l.open() < limit || l.closeOldestUnused(now) {
+		return true
+	}
+	l.refused++
+	l.logRefusal(limit, now)
+	return false
+}
+
 // logRefusal logs at most one line in logInterval, since refusals come in crowds.
 func (l *Limiter) logRefusal(limit int, now time.Time) {
 	if now.Sub(l.loggedAt) < logInterval {
@@ -176,7 +178,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		conn.Keep()
+		conn.Decoded()
 	case http.StateIdle:
 		conn.BeginHead()
 	}
@@ -198,15 +200,26 @@
 		if e.element == nil {
 			e.element = l.unused.PushBack(e)
 		}
+		if l.isDraining {
+			l.end(e, CauseStop)
+		}
 	case http.StateClosed, http.StateHijacked:
 		l.unlist(e)
 		if e.isEnding {
 			l.ending--
 		}
 		delete(l.conns, e.conn)
+		l.reportDrained()
 	}
 }
 
+// hasStopped reports whether no more connections are accepted.
+func (l *Limiter) hasStopped() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isDraining
+}
+
 // Run closes the connections that have been unused for too long until ctx ends.
 func (l *Limiter) Run(ctx context.Context) error {
 	return radish.Every(ctx, sweepInterval, l.sweep)
--- a/internal/radishconn/server_test.go
+++ b/internal/radishconn/server_test.go
@@ -26,7 +26,9 @@
 	address string
 	// onRead is called once, after the next data of a caller has been read and before the HTTP server gets it.
 	onRead atomic.Pointer[func()]
-	drops  chan Drop
+	// onRequest is called for each request; nil if nothing is done. It is read when the handler starts.
+	onRequest func()
+	drops     chan Drop
 	// handled counts the requests that reached the handler.
 	handled   atomic.Int64
 	startOnce sync.Once
@@ -73,8 +75,12 @@
 	}
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			s.handled.Add(1)
 			ConnOf(r.Context()).EndHead()
+			onRequest := s.onRequest
+			s.handled.Add(1)
+			if onRequest != nil {
+				onRequest()
+			}
 		}),
 		ConnContext: WithConn,
 		ConnState:   s.limiter.ConnState,
--- a/internal/radishsite/memory.go
+++ b/internal/radishsite/memory.go
@@ -36,21 +36,11 @@
 // callerListener wraps the listener for callers so that connections are limited and heads of requests count towards the memory budget.
 func (s *Server) callerListener(inner net.Listener) net.Listener {
 	return s.callerConns.Listener(&radishconn.HeadListener{
-		Listener: inner, Account: s.memory, MaxHeadBytes: s.maxHeaderBytes, HeaderTimeout: s.headerTimeout, OnDrop: s.recordDrop,
+		Listener: inner, Account: s.memory, MaxHeadBytes: s.maxHeaderBytes, HeaderTimeout: s.headerTimeout,
+		OnDrop: radishconn.DropReporter(s.metrics, s.callerConns.Log),
 	})
 }
 
-// recordDrop counts a request that was dropped with its connection, and logs it if it had been read to the end of its head.
-func (s *Server) recordDrop(d radishconn.Drop) {
-	if !d.IsWhole {
-		s.metrics.RecordDrop(string(d.Cause), "part")
-		return
-	}
-	s.metrics.RecordDrop(string(d.Cause), "whole")
-	s.Log.Warn("request dropped with its connection", "cause", string(d.Cause), "caller", d.Remote, "head_bytes", d.HeadBytes,
-		"age_ms", d.Age.Milliseconds(), "leaving", s.leaving.Load())
-}
-
 // maxHeaderBytes returns the configuration's limit on the head of a request, or 0 until a configuration is loaded.
 func (s *Server) maxHeaderBytes() int {
 	if cfg := s.state.config.Load(); cfg != nil {
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -179,7 +179,7 @@
 		return err
 	}
 	s.addBackgroundLoops(background, &group)
-	group.Add(func() error { return s.waitAndShutDown(ctx, background, callerServer) }, func(error) { stop() })
+	group.Add(func() error { return s.waitAndShutDown(ctx, background) }, func(error) { stop() })
 	s.Log.Info("started", "caller", s.InitialSettings.CallerAddress, "ready", s.InitialSettings.ReadyAddress,
 		"peer", s.InitialSettings.PeerAddress, "store", s.InitialSettings.StoreAddress, "memory_mb", s.InitialSettings.MemoryMB,
 		"cores", s.InitialSettings.Cores, "incarnation", s.peers.self.Incarnation)
@@ -276,7 +276,7 @@
 
 // waitAndShutDown takes the VM out of service once ctx ends. It first fails the readiness probe, then stops accepting
 // connections after the load balancer has had time to notice, then waits for the accepted requests to finish.
-func (s *Server) waitAndShutDown(ctx, background context.Context, callerServer *http.Server) error {
+func (s *Server) waitAndShutDown(ctx, background context.Context) error {
 	select {
 	case <-ctx.Done():
 	case <-background.Done():
@@ -300,7 +300,7 @@
 	s.relay.RefuseLate(startedAt.Add(s.InitialSettings.ShutdownGrace - waitingMargin))
 	shutdownCtx, cancel := context.WithDeadline(background, startedAt.Add(s.InitialSettings.ShutdownGrace-shutdownMargin))
 	defer cancel()
-	err := callerServer.Shutdown(shutdownCtx)
+	err := s.callerConns.Drain(shutdownCtx)
 	s.Log.Info("left", "in_flight", s.inFlight.Load(), "took_ms", time.Since(startedAt).Milliseconds(), "error", radishlog.ErrorText(err))
 	return err
 }
