Cut off no request for one that has ended

What callers saw: while memory is short, a request on a kept connection was closed without an answer although nothing was wrong with it.

Cause: the account withdraws a grant under its lock and cuts the connection off later, without it. By then the call of that grant may have been refused, and the next request may run on the connection: its background read failed, which net/http takes for a caller that has left. The write deadline could also fail the refusal itself.

Change: what cuts a connection off is bound to one request and checks it under the connection's lock. A head is interrupted only while it arrives. A call that received its body can still be answered: only a response that was being sent has its writes cut.

--- a/internal/radishconn/conn.go
+++ b/internal/radishconn/conn.go
@@ -41,6 +41,8 @@
 
 	mu    sync.Mutex
 	phase phase
+	// requests counts the requests for which the connection has waited.
+	requests int
 	// isNew is whether no request has been handled on the connection yet.
 	isNew bool
 	// isEnding is whether reads fail since the connection is to be closed. readDeadline is the deadline of the HTTP server.
@@ -69,8 +71,11 @@
 
 func (c *Conn) waitForHead() {
 	c.head.Close()
+	c.requests++
+	request := c.requests
 	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-	c.phase, c.headBytes, c.head = phaseWaiting, 0, c.listener.Account.Open(host, c.CutOff)
+	c.phase, c.headBytes = phaseWaiting, 0
+	c.head = c.listener.Account.Open(host, func(radishmemory.State) { c.cutOffHead(request) })
 	c.isWhole, c.hasAnswer, c.isCut, c.cause = false, false, false, ""
 }
 
@@ -100,6 +105,11 @@
 func (c *Conn) endHead(cause Cause) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.interruptHead(cause)
+}
+
+// interruptHead is endHead for callers that hold the lock.
+func (c *Conn) interruptHead(cause Cause) {
 	if c.phase != phaseHead {
 		return
 	}
@@ -181,10 +191,11 @@
 	c.isCut = c.phase < phaseDecoded && !c.isWhole
 }
 
+// isAboutToEnd reports whether the connection is to be closed, and what has arrived by then is still wanted.
 func (c *Conn) isAboutToEnd() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.isEnding
+	return c.isEnding && c.cause != CauseMemory
 }
 
 // readArrived reads data that the kernel has received already, or returns the error if there is none. A VM that is behind with its work
@@ -225,10 +236,36 @@
 	return c.Conn.Write(p)
 }
 
-// CutOff makes pending and later reads and writes fail.
-func (c *Conn) CutOff() {
-	c.setCause(CauseMemory)
-	_ = c.Conn.SetDeadline(expired)
+// CutOff returns the function by which the account cuts the connection off for the current request. It does nothing once that has ended, since
+// the account calls it some time after it has withdrawn the memory.
+func (c *Conn) CutOff() func(radishmemory.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	request := c.requests
+	return func(state radishmemory.State) { c.cutOff(request, state) }
+}
+
+// cutOff makes pending and later reads of the request fail, and its writes if it was sending: the refusal of a call that was received
+// must reach its caller.
+func (c *Conn) cutOff(request int, state radishmemory.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if request != c.requests || c.phase != phaseRequest {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(expired)
+	if state == radishmemory.Sending {
+		_ = c.SetWriteDeadline(expired)
+	}
+}
+
+// cutOffHead makes the connection close if the head of the request has not arrived whole.
+func (c *Conn) cutOffHead(request int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if request == c.requests {
+		c.interruptHead(CauseMemory)
+	}
 }
 
 // Close implements net.Conn.
--- a/internal/radishconn/drop.go
+++ b/internal/radishconn/drop.go
@@ -51,15 +51,6 @@
 	}, true
 }
 
-// setCause sets why the connection is about to be closed, unless a cause is known.
-func (c *Conn) setCause(cause Cause) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cause == "" {
-		c.cause = cause
-	}
-}
-
 // DropReporter returns an OnDrop function that counts dropped requests and logs those whose head was read whole.
 func DropReporter(m *radishmetric.Metrics, log hclog.Logger) func(Drop) {
 	return func(d Drop) {
--- a/internal/radishmemory/account.go
+++ b/internal/radishmemory/account.go
@@ -41,7 +41,7 @@
 type Grant struct {
 	account *Account
 	caller  string
-	evict   func()
+	evict   func(State)
 
 	// These fields are guarded by the account's mutex. grownAt is when the body last arrived in part, or since when a response waits for
 	// its caller.
@@ -68,8 +68,8 @@
 }
 
 // Open returns an empty grant for a caller's address. The account calls evict, at most once, when it withdraws the grant's bytes; the call
-// must then end without them.
-func (a *Account) Open(caller string, evict func()) *Grant {
+// must then end without them. The state is that of the grant when it was withdrawn; the call may have gone on since.
+func (a *Account) Open(caller string, evict func(State)) *Grant {
 	if a == nil {
 		return nil
 	}
@@ -145,15 +145,21 @@
 	}
 	victims, ok := g.account.grow(g, n, now)
 	for _, v := range victims {
-		if v.evict != nil {
-			v.evict()
+		if v.grant.evict != nil {
+			v.grant.evict(v.state)
 		}
 	}
 	return ok
 }
 
-// grow adds n bytes to the grant if they fit, and returns the grants that it withdrew for that, whether or not it succeeded.
-func (a *Account) grow(g *Grant, n int64, now time.Time) (victims []*Grant, ok bool) {
+// withdrawal is a grant that was withdrawn in a state.
+type withdrawal struct {
+	grant *Grant
+	state State
+}
+
+// grow adds n bytes to the grant if they fit, and returns what it withdrew for that, whether or not it succeeded.
+func (a *Account) grow(g *Grant, n int64, now time.Time) (victims []withdrawal, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for !g.isEvicted && !a.fits(g, n) {
@@ -163,7 +169,7 @@
 			return victims, false
 		}
 		a.withdraw(v)
-		victims = append(victims, v)
+		victims = append(victims, withdrawal{v, v.state})
 	}
 	if g.isEvicted {
 		return victims, false
--- a/internal/radishmemory/account_test.go
+++ b/internal/radishmemory/account_test.go
@@ -81,7 +81,7 @@
 func TestStalledGrantsGoFirst(t *testing.T) {
 	a, now := newAccount(), time.Now()
 	evicted := make(map[string]bool)
-	stalled, progressing := a.Open("a", func() { evicted["stalled"] = true }), a.Open("b", func() { evicted["progressing"] = true })
+	stalled, progressing := a.Open("a", func(State) { evicted["stalled"] = true }), a.Open("b", func(State) { evicted["progressing"] = true })
 	fill(stalled, 12<<20, now)
 	now = now.Add(stallTime)
 	fill(progressing, 12<<20, now)
@@ -101,7 +101,7 @@
 // TestRunningGrantsAreKept guards against withdrawing the memory of calls that may have reached a target.
 func TestRunningGrantsAreKept(t *testing.T) {
 	a, now := newAccount(), time.Now()
-	running := a.Open("a", func() { t.Error("the grant was withdrawn") })
+	running := a.Open("a", func(State) { t.Error("the grant was withdrawn") })
 	if !fill(running, 20<<20, now) {
 		t.Fatal("the first body was refused")
 	}
