Soak: change the idle timeout, and miss no response in planned work

Change: further callers pause for about the idle timeout while it is lowered and raised again; a request that reached a target and got not even the head of a response is an error unless the VM was killed or paused meanwhile. Planned stops, reloads and changes excuse nothing.

--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -38,6 +38,8 @@
 	addedRoutes []string
 	// coldPerSecond is the rate of calls that a cold plain target bears; 0 means that it bears all. It must be set before a version is written.
 	coldPerSecond float64
+	// idleTimeout is how long a caller's connection may be idle by the next versions; 0 means that they do not limit it.
+	idleTimeout time.Duration
 	// settings are further lines of the VMs' settings.
 	settings string
 }
@@ -109,7 +111,7 @@
 			{"name": "plain", "health_path": "/healthz", "cold_per_s": s.coldPerSecond}, {"name": "engine", "engine": map[string]any{"slots": 8}},
 			{"name": "stage", "pieces": map[string]any{"slots": 1, "queue": 2, "batch": 8, "call_ms": 30, "item_ms": 1, "room_mb": 1, "handle_s": 4}},
 		},
-		"limits":  map[string]any{"max_body_bytes": 65536},
+		"limits":  map[string]any{"max_body_bytes": 65536, "idle_timeout_ms": s.idleTimeout.Milliseconds()},
 		"tenants": []map[string]any{{"name": "roads", "api_keys": []string{siteAPIKey}}},
 	})
 }
--- a/e2e/soak_check_test.go
+++ b/e2e/soak_check_test.go
@@ -42,7 +42,7 @@
 // are tolerated: it fails if most of at least 8 overdue requests had none even after soakResponseGrace.
 func (s *soak) checkCalls() {
 	runs := make(map[string]int)
-	for _, target := range s.plainTargets {
+	for _, target := range append(s.plainTargets, s.engineTargets...) {
 		for id, n := range target.Executions() {
 			runs[id] += n
 		}
@@ -78,7 +78,7 @@
 // completeStream is the body of a complete streamed response.
 const completeStream = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\nid: 4\ndata: token 4\n\nid: 5\ndata: token 5\n\n"
 
-// checkCall checks the response of one request, which ran the given number of times at plain targets.
+// checkCall checks the response of one request, which ran the given number of times at plain targets and engines.
 func (s *soak) checkCall(c soakCall, runs int) {
 	isPlain := strings.HasPrefix(c.path, "/plain/")
 	want := completeStream
@@ -88,6 +88,8 @@
 	switch {
 	case isPlain && runs > 1:
 		s.t.Errorf("request %s at %s ran %d times, want at most once", c.id, c.vm, runs)
+	case runs > 0 && !c.isAnswered && c.unharmed && c.duration < soakDeadline:
+		s.t.Errorf("request %s at %s ran and got no response after %v, though the VM was neither killed nor paused", c.id, c.vm, c.duration)
 	case c.status == http.StatusOK && c.body != want:
 		s.t.Errorf("request %s at %s: got body %q, want %q", c.id, c.vm, c.body, want)
 	case c.status == http.StatusOK && isPlain && runs != 1:
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -89,8 +89,9 @@
 	// signalMu is held by the fault that sends a signal to the process, until the fault ends.
 	signalMu sync.Mutex
 	mu       sync.Mutex
-	// lastDisturbed is when the last such fault ended; guarded by mu.
-	lastDisturbed time.Time
+	// lastDisturbed is when the last such fault ended, and lastHarmed when the last one did that is not planned work (a kill or a pause), the
+	// distant future while it lasts; guarded by mu.
+	lastDisturbed, lastHarmed time.Time
 	// exitExpected is set once a fault has made the current process exit; exited is closed when it has exited.
 	exitExpected *atomic.Bool
 	exited       chan struct{}
@@ -102,8 +103,10 @@
 	status       int
 	body         string
 	duration     time.Duration
-	// undisturbed is whether no signal fault affected the VM during the call.
-	undisturbed bool
+	// isAnswered is whether the head of a response arrived.
+	isAnswered bool
+	// undisturbed is whether no signal fault affected the VM during the call, unharmed whether none did that is not planned work.
+	undisturbed, unharmed bool
 }
 
 func runSoak(t *testing.T, seed uint64) {
@@ -120,6 +123,7 @@
 	var others sync.WaitGroup
 	others.Go(func() { s.announce(seed, period) })
 	others.Go(func() { s.drillStore(seed, period) })
+	others.Go(func() { s.changeIdleTimeout(seed, period) })
 	s.injectFaults(period)
 	others.Wait()
 	s.checkRecovery()
@@ -220,6 +224,20 @@
 	return vm.lastDisturbed.Before(t)
 }
 
+// setHarmed records that a kill or a pause affects the VM until the time.
+func (vm *soakVM) setHarmed(until time.Time) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	vm.lastHarmed = until
+}
+
+// unharmedSince reports whether the VM has been neither killed nor paused since t.
+func (vm *soakVM) unharmedSince(t time.Time) bool {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return vm.lastHarmed.Before(t)
+}
+
 // sendUntil sends requests one after another until stop is closed. It reuses its connections until the process exits.
 func (s *soak) sendUntil(stop chan struct{}, vm *soakVM, random *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
@@ -230,13 +248,17 @@
 			return
 		case <-time.After(time.Duration(random.IntN(30)) * time.Millisecond):
 		}
-		call := s.send(client, vm, random.IntN(3) == 0)
-		s.mu.Lock()
-		s.calls = append(s.calls, call)
-		s.mu.Unlock()
+		s.record(s.send(client, vm, random.IntN(3) == 0))
 	}
 }
 
+// record keeps the outcome of a request for the checks.
+func (s *soak) record(call soakCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, call)
+}
+
 // send sends one request and records its outcome.
 func (s *soak) send(client *http.Client, vm *soakVM, isStaged bool) soakCall {
 	call := soakCall{id: uuid.NewString(), vm: vm.name}
@@ -245,7 +267,9 @@
 		call.path = "/stream/" + call.id
 	}
 	startedAt := time.Now()
-	defer func() { call.duration, call.undisturbed = time.Since(startedAt), vm.undisturbedSince(startedAt) }()
+	defer func() {
+		call.duration, call.undisturbed, call.unharmed = time.Since(startedAt), vm.undisturbedSince(startedAt), vm.unharmedSince(startedAt)
+	}()
 	ctx, cancel := context.WithTimeout(context.Background(), soakCallerTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+vm.callerAddress+call.path, io.NopCloser(strings.NewReader(call.id)))
@@ -267,6 +291,7 @@
 		return call
 	}
 	defer res.Body.Close()
+	call.isAnswered = true
 	if body, err := io.ReadAll(res.Body); err == nil {
 		call.status, call.body = res.StatusCode, string(body)
 	}
@@ -336,6 +361,10 @@
 	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
 		vm.exitExpected.Store(true)
 	}
+	if signal == syscall.SIGKILL || signal == syscall.SIGSTOP {
+		vm.setHarmed(time.Now().Add(time.Hour))
+		defer func() { vm.setHarmed(time.Now()) }()
+	}
 	process := vm.cmd.Process
 	if err := process.Signal(signal); err != nil {
 		s.t.Errorf("%s: %v", vm.name, err)
