End a head that goes on to arrive when it is to end

What callers saw: nothing; a VM that stops could wait for a head that arrives byte by byte until the header timeout.

Cause: the last look for data that the kernel has sets the read deadline aside and did not set it again when there was data.

Change: the expired deadline is set again in any case; a connection that has a request takes it back as before.

Evidence: TestDrippingHeadEndsAtOnce waited for its limit of 5 s before and passes.

--- a/internal/radishconn/conn.go
+++ b/internal/radishconn/conn.go
@@ -216,8 +216,8 @@
 		n, _ = unix.Read(int(fd), p)
 		return true
 	})
+	_ = c.Conn.SetReadDeadline(expired)
 	if rawErr != nil || n <= 0 {
-		_ = c.Conn.SetReadDeadline(expired)
 		return 0, err
 	}
 	return n, nil
--- a/internal/radishconn/server_test.go
+++ b/internal/radishconn/server_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -61,6 +62,9 @@
 	return n, err
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *hookConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
+
 // newTestServer returns a server that accepts up to limit connections; 0 means no limit. It serves from the first dial on.
 func newTestServer(t *testing.T, limit int) *testServer {
 	t.Helper()
--- a/internal/radishconn/unused_test.go
+++ b/internal/radishconn/unused_test.go
@@ -49,28 +49,39 @@
 	}
 }
 
-// TestArrivedRequestIsReadBeforeClose guards against a VM that is behind with its work and closes a connection as unused on which a request
-// has been waiting to be read.
-func TestArrivedRequestIsReadBeforeClose(t *testing.T) {
+// acceptConn returns both ends of a connection.
+func acceptConn(t *testing.T) (caller net.Conn, conn *Conn) {
+	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = inner.Close() }()
-	caller, err := net.Dial("tcp", inner.Addr().String())
-	if err != nil {
+	if caller, err = net.Dial("tcp", inner.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = caller.Close() }()
-	conn, err := (&HeadListener{Listener: inner}).accept()
-	if err != nil {
+	t.Cleanup(func() { _ = caller.Close() })
+	if conn, err = (&HeadListener{Listener: inner}).accept(); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = conn.Close() }()
-	if _, err := io.WriteString(caller, testRequest); err != nil {
+	t.Cleanup(func() { _ = conn.Close() })
+	return caller, conn
+}
+
+// send sends the text and waits until the kernel has it for the connection.
+func send(t *testing.T, caller net.Conn, conn *Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(caller, text); err != nil {
 		t.Fatal(err)
 	}
 	waitForData(t, conn)
+}
+
+// TestArrivedRequestIsReadBeforeClose guards against a VM that is behind with its work and closes a connection as unused on which a request
+// has been waiting to be read.
+func TestArrivedRequestIsReadBeforeClose(t *testing.T) {
+	caller, conn := acceptConn(t)
+	send(t, caller, conn, testRequest)
 	if !conn.end(CauseIdle) {
 		t.Fatal("the connection counts as used before its request is read")
 	}
@@ -87,6 +98,26 @@
 	}
 }
 
+// TestDrippingHeadEndsAtOnce guards against a caller that keeps a VM from stopping by sending its head byte by byte.
+func TestDrippingHeadEndsAtOnce(t *testing.T) {
+	caller, conn := acceptConn(t)
+	buf := make([]byte, len(testRequest))
+	send(t, caller, conn, "GE")
+	if n, err := conn.Read(buf); n != 2 {
+		t.Fatalf("read %d bytes, error %v", n, err)
+	}
+	send(t, caller, conn, "T")
+	conn.endHead(CauseStop)
+	if n, err := conn.Read(buf); n != 1 {
+		t.Errorf("read %d bytes of the one that had arrived, error %v", n, err)
+	}
+	timer := time.AfterFunc(testTimeout, func() { _ = conn.Close() })
+	defer timer.Stop()
+	if n, err := conn.Read(buf); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read of a head that is to end: %d bytes, error %v", n, err)
+	}
+}
+
 // waitForData waits until the kernel has data for the connection.
 func waitForData(t *testing.T, conn *Conn) {
 	t.Helper()
