--- a/e2e/soak_idle_test.go
+++ b/e2e/soak_idle_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -15,7 +14,8 @@
 )
 
 // changeIdleTimeout lowers the idle timeout of callers' connections, and raises it again, until the period has passed. Each time, connections become due
-// at the same time, while their callers send the next request. Its draws are its own.
+// at the same time, while their callers send the next request, to the engines: the checks of announcements count the calls of the other
+// callers at plain targets. Its draws are its own.
 func (s *soak) changeIdleTimeout(seed uint64, period time.Duration) {
 	random := rand.New(rand.NewPCG(seed, 3))
 	stop := make(chan struct{})
@@ -23,7 +23,10 @@
 	for _, vm := range s.vms {
 		for range soakIdleCallersPerVM {
 			callerRandom := rand.New(rand.NewPCG(seed, random.Uint64()))
-			callers.Go(func() { s.sendWithPauses(stop, vm, callerRandom) })
+			pause := func() time.Duration {
+				return soakIdleTimeout + time.Duration(callerRandom.IntN(1200)-200)*time.Millisecond
+			}
+			callers.Go(func() { s.sendUntil(stop, vm, pause, func() bool { return true }) })
 		}
 	}
 	timeout := soakIdleTimeout
@@ -43,18 +46,3 @@
 	s.configMu.Unlock()
 	s.log("idle timeout %v from configuration version %d on", timeout, s.putConfig("/plain/"))
 }
-
-// sendWithPauses sends requests on one connection until stop is closed, with pauses that end around the idle timeout. They go to the engines,
-// since the checks of announcements count the calls of the other callers at plain targets.
-func (s *soak) sendWithPauses(stop chan struct{}, vm *soakVM, random *rand.Rand) {
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
-	defer client.CloseIdleConnections()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(soakIdleTimeout + time.Duration(random.IntN(1200)-200)*time.Millisecond):
-		}
-		s.record(s.send(client, vm, true))
-	}
-}
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -116,7 +116,8 @@
 	for _, vm := range s.vms {
 		for range soakCallersPerVM {
 			random := rand.New(rand.NewPCG(seed, s.random.Uint64()))
-			callers.Go(func() { s.sendUntil(stop, vm, random) })
+			pause := func() time.Duration { return time.Duration(random.IntN(30)) * time.Millisecond }
+			callers.Go(func() { s.sendUntil(stop, vm, pause, func() bool { return random.IntN(3) == 0 }) })
 		}
 	}
 	period := time.Duration(*soakSeconds) * time.Second
@@ -238,17 +239,18 @@
 	return vm.lastHarmed.Before(t)
 }
 
-// sendUntil sends requests one after another until stop is closed. It reuses its connections until the process exits.
-func (s *soak) sendUntil(stop chan struct{}, vm *soakVM, random *rand.Rand) {
+// sendUntil sends requests one after another until stop is closed, each after a pause, and staged ones if isStaged returns true. It reuses its
+// connections until the process exits.
+func (s *soak) sendUntil(stop chan struct{}, vm *soakVM, pause func() time.Duration, isStaged func() bool) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(random.IntN(30)) * time.Millisecond):
+		case <-time.After(pause()):
 		}
-		s.record(s.send(client, vm, random.IntN(3) == 0))
+		s.record(s.send(client, vm, isStaged()))
 	}
 }
 
