End heads that do not go on, whatever their first bytes and when they begin

A request that had arrived within the header timeout was not read if the VM began to read only after it.

Reports named the HTTP server for heads that a stop ended, missed whole heads whose end came in two reads, and a connection that was ended twice counted twice.

Change: the first byte of a head starts its time. Drain looks four times a second for heads and new connections older than a second. Whatever deadline passes, a head that the kernel has is read. A head that could be read only in part keeps its cause.

--- a/internal/radishconn/conn.go
+++ b/internal/radishconn/conn.go
@@ -48,8 +48,9 @@
 	// isEnding is whether reads fail since the connection is to be closed. readDeadline is the deadline of the HTTP server.
 	isEnding     bool
 	readDeadline time.Time
-	// headBytes is how much of the head has been read; head holds its memory until the request ends.
+	// headBytes is how much of the head has been read, and headTail its last bytes; head holds its memory until the request ends.
 	headBytes int
+	headTail  string
 	head      *radishmemory.Grant
 	// beganAt is when the first byte of the head was read, isWhole whether its end was, and hasAnswer whether anything has been written since.
 	beganAt            time.Time
@@ -74,7 +75,7 @@
 	c.requests++
 	request := c.requests
 	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-	c.phase, c.headBytes = phaseWaiting, 0
+	c.phase, c.headBytes, c.headTail = phaseWaiting, 0, ""
 	c.head = c.listener.Account.Open(host, func(radishmemory.State) { c.cutOffHead(request) })
 	c.isWhole, c.hasAnswer, c.isCut, c.cause = false, false, false, ""
 }
@@ -101,16 +102,18 @@
 	return true
 }
 
-// endHead makes a connection close on which a head has begun to arrive and does not go on. It does not affect a head that was read whole.
-func (c *Conn) endHead(cause Cause) {
+// endHead makes a connection close on which a head has been arriving for the time or longer. It does not affect a head that was read whole.
+func (c *Conn) endHead(cause Cause, age time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.interruptHead(cause)
+	if c.phase == phaseHead && time.Since(c.beganAt) >= age {
+		c.interruptHead(cause)
+	}
 }
 
-// interruptHead is endHead for callers that hold the lock.
+// interruptHead makes the connection close if its head is arriving. The caller holds the lock.
 func (c *Conn) interruptHead(cause Cause) {
-	if c.phase != phaseHead {
+	if c.phase != phaseHead || c.isEnding {
 		return
 	}
 	c.isEnding, c.cause = true, cause
@@ -130,6 +133,10 @@
 func (c *Conn) Decoded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// The server also reports a head of which it could read only a part.
+	if c.isCut {
+		return
+	}
 	c.phase = phaseDecoded
 	c.keep()
 }
@@ -169,7 +176,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isAboutToEnd() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.wantsArrived() {
 		n, err = c.readArrived(p, err)
 	}
 	if n > 0 && !c.countHead(p[:n]) {
@@ -191,11 +198,11 @@
 	c.isCut = c.phase < phaseDecoded && !c.isWhole
 }
 
-// isAboutToEnd reports whether the connection is to be closed, and what has arrived by then is still wanted.
-func (c *Conn) isAboutToEnd() bool {
+// wantsArrived reports whether data that has arrived by a deadline is read after it: a head, but for lack of memory.
+func (c *Conn) wantsArrived() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.isEnding && c.cause != CauseMemory
+	return c.phase < phaseDecoded && c.cause != CauseMemory
 }
 
 // readArrived reads data that the kernel has received already, or returns the error if there is none. A VM that is behind with its work
--- a/internal/radishconn/drain.go
+++ b/internal/radishconn/drain.go
@@ -7,46 +7,48 @@
 	"time"
 )
 
+// drainInterval is the time between two searches for connections without a whole request during a drain.
+const drainInterval = minNewAge / 4
+
 // Drain stops accepting connections, closes the unused ones and returns when all others have been closed after their request, or with the
 // error of ctx. A request that has been read is handled whenever it came: http.Server.Shutdown drops those that it reads after its start,
-// and must not be called before. A connection that was just accepted, and the rest of a head, have minNewAge to send a request.
+// and must not be called before. A connection that was just accepted, and a head that has begun, have minNewAge.
 func (l *Limiter) Drain(ctx context.Context) error {
 	l.startDrain()
-	timer := time.AfterFunc(minNewAge, l.endIncomplete)
-	defer timer.Stop()
-	select {
-	case <-l.drained:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.drained:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			l.endUnfinished(now)
+		}
 	}
 }
 
 // startDrain stops accepting and ends the unused connections.
 func (l *Limiter) startDrain() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.isDraining, l.drained = true, make(chan struct{})
 	l.listener.stop()
-	now := time.Now()
-	for element := l.unused.Front(); element != nil; {
-		e := element.Value.(*entry)
-		element = element.Next()
-		if !e.isNew || now.Sub(e.since) >= minNewAge {
-			l.end(e, CauseStop)
-		}
-	}
 	l.reportDrained()
+	l.mu.Unlock()
+	l.endUnfinished(time.Now())
 }
 
-// endIncomplete ends the connections whose request has not arrived whole.
-func (l *Limiter) endIncomplete() {
+// endUnfinished ends the connections whose request has not arrived whole.
+func (l *Limiter) endUnfinished(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range l.conns {
-		if !l.end(e, CauseStop) {
-			e.conn.endHead(CauseStop)
+		hasTime := e.isNew && now.Sub(e.since) < minNewAge
+		if hasTime || l.end(e, CauseStop) {
+			continue
 		}
+		e.conn.endHead(CauseStop, minNewAge)
 	}
 }
 
--- a/internal/radishconn/drain_test.go
+++ b/internal/radishconn/drain_test.go
@@ -103,3 +103,47 @@
 		t.Errorf("got error %v", err)
 	}
 }
+
+// TestDrainEndsLateHeads guards against a caller that begins a request after its last one and does not go on, which kept a VM from stopping.
+func TestDrainEndsLateHeads(t *testing.T) {
+	for _, part := range []string{"GE", testRequest[:20]} {
+		s := newTestServer(t, 0)
+		release := make(chan struct{})
+		s.onRequest = func() { <-release }
+		c := s.dial()
+		if err := c.send(testRequest + part); err != nil {
+			t.Fatal(err)
+		}
+		for s.handled.Load() < 1 {
+			time.Sleep(time.Millisecond)
+		}
+		drained := s.startDrain()
+		time.Sleep(minNewAge + 2*drainInterval)
+		close(release)
+		endedAt := time.Now()
+		if status, err := c.status(); status != http.StatusOK {
+			t.Errorf("%q: status %d, error %v", part, status, err)
+		}
+		if err := <-drained; err != nil {
+			t.Errorf("%q: drain: %v", part, err)
+		}
+		if took := time.Since(endedAt); took > 2*minNewAge {
+			t.Errorf("%q: the drain went on for %v, want %v", part, took, minNewAge)
+		}
+	}
+}
+
+// TestDroppedPartsNameTheStop guards against reports that blame the HTTP server for heads that a stop ended.
+func TestDroppedPartsNameTheStop(t *testing.T) {
+	s := newTestServer(t, 0)
+	c := s.dial()
+	if err := c.send(testRequest[:10]); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-s.startDrain(); err != nil {
+		t.Error(err)
+	}
+	if d := s.awaitDrop(); d.Cause != CauseStop || d.IsWhole {
+		t.Errorf("got %+v", d)
+	}
+}
--- a/internal/radishconn/head.go
+++ b/internal/radishconn/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net"
+	"strings"
 	"time"
 
 	"radishramp.example/radishramp/internal/radishmemory"
@@ -21,7 +22,7 @@
 )
 
 // endOfHead ends the head of a request.
-var endOfHead = []byte("\r\n\r\n")
+const endOfHead = "\r\n\r\n"
 
 // ErrHeadTooLarge is the error of reading a head beyond the limit or without memory for it.
 var ErrHeadTooLarge = errors.New("head of the request is larger than the limit, or memory is short")
@@ -68,14 +69,39 @@
 		return nil, true
 	}
 	if c.phase == phaseWaiting {
-		c.phase, c.beganAt = phaseHead, time.Now()
-		c.keep()
+		c.startHead(time.Now())
 	}
 	c.headBytes += len(p)
-	c.isWhole = c.isWhole || bytes.Contains(p, endOfHead)
+	c.findEnd(p)
 	return c.head, c.listener.allowsHead(c.headBytes)
 }
 
+// startHead notes the first byte of a head and limits the time for the rest: the HTTP server does so only after some more bytes. The caller
+// holds the lock.
+func (c *Conn) startHead(now time.Time) {
+	c.phase, c.beganAt = phaseHead, now
+	c.keep()
+	if c.listener.HeaderTimeout == nil {
+		return
+	}
+	timeout := c.listener.HeaderTimeout()
+	if limit := now.Add(timeout); timeout > 0 && (c.readDeadline.IsZero() || c.readDeadline.After(limit)) {
+		c.readDeadline = limit
+		_ = c.Conn.SetReadDeadline(limit)
+	}
+}
+
+// findEnd notes whether the bytes end the head, also if its end arrives in parts. The caller holds the lock.
+func (c *Conn) findEnd(p []byte) {
+	const overlap = len(endOfHead) - 1
+	joint := c.headTail + string(p[:min(len(p), overlap)])
+	c.isWhole = c.isWhole || bytes.Contains(p, []byte(endOfHead)) || strings.Contains(joint, endOfHead)
+	if len(p) >= overlap {
+		joint = string(p[len(p)-overlap:])
+	}
+	c.headTail = joint[max(0, len(joint)-overlap):]
+}
+
 func (l *HeadListener) allowsHead(bytes int) bool {
 	return l.MaxHeadBytes == nil || bytes <= max(minHeadBytes, 2*l.MaxHeadBytes())+readAheadBytes
 }
--- a/internal/radishconn/limiter.go
+++ b/internal/radishconn/limiter.go
@@ -143,7 +143,7 @@
 // end makes a connection close as unused and reports whether it was unused: its next request may have been read already, although the HTTP
 // server has not reported that yet. The caller holds the lock.
 func (l *Limiter) end(e *entry, cause Cause) bool {
-	if !e.conn.end(cause) {
+	if e.isEnding || !e.conn.end(cause) {
 		return false
 	}
 	l.unlist(e)
--- a/internal/radishconn/limiter_test.go
+++ b/internal/radishconn/limiter_test.go
@@ -131,3 +131,18 @@
 		}
 	})
 }
+
+// TestConnectionEndsOnce guards against counting a connection twice that is ended again before it has been closed.
+func TestConnectionEndsOnce(t *testing.T) {
+	l := newLimiter(0)
+	c := open(t, l)
+	l.endUnfinished(time.Now().Add(time.Hour))
+	l.endUnfinished(time.Now().Add(time.Hour))
+	if got, want := l.Stats(), (Stats{Closed: 1}); got != want {
+		t.Errorf("stats %+v, want %+v", got, want)
+	}
+	c.setState(l, http.StateClosed)
+	if got, want := l.Stats(), (Stats{Closed: 1}); got != want {
+		t.Errorf("after the close: stats %+v, want %+v", got, want)
+	}
+}
--- a/internal/radishconn/unused_test.go
+++ b/internal/radishconn/unused_test.go
@@ -107,7 +107,7 @@
 		t.Fatalf("read %d bytes, error %v", n, err)
 	}
 	send(t, caller, conn, "T")
-	conn.endHead(CauseStop)
+	conn.endHead(CauseStop, 0)
 	if n, err := conn.Read(buf); n != 1 {
 		t.Errorf("read %d bytes of the one that had arrived, error %v", n, err)
 	}
@@ -138,23 +138,53 @@
 // the configuration allows.
 func TestPartOfHeadTimesOut(t *testing.T) {
 	const timeout = 300 * time.Millisecond
-	for _, isKept := range []bool{true, false} {
-		s := newTestServer(t, 0)
-		s.http.ReadHeaderTimeout = time.Minute
-		s.heads.HeaderTimeout = func() time.Duration { return timeout }
-		c := s.dial()
-		if isKept {
-			s.mustExchange(c)
-		}
-		startedAt := time.Now()
-		if err := c.send(testRequest[:10]); err != nil {
-			t.Fatal(err)
-		}
-		if status, err := c.status(); err == nil {
-			t.Errorf("kept %t: status %d", isKept, status)
+	// net/http limits the time of a head on a kept connection after its fourth byte only.
+	for _, size := range []int{1, 3, 10} {
+		for _, isKept := range []bool{true, false} {
+			s := newTestServer(t, 0)
+			s.http.ReadHeaderTimeout, s.http.IdleTimeout = time.Minute, time.Minute
+			s.heads.HeaderTimeout = func() time.Duration { return timeout }
+			c := s.dial()
+			if isKept {
+				s.mustExchange(c)
+			}
+			startedAt := time.Now()
+			if err := c.send(testRequest[:size]); err != nil {
+				t.Fatal(err)
+			}
+			if status, err := c.status(); err == nil {
+				t.Errorf("%d bytes, kept %t: status %d", size, isKept, status)
+			}
+			if took := time.Since(startedAt); took < timeout/2 || took > testTimeout {
+				t.Errorf("%d bytes, kept %t: the connection was closed after %v, want after %v", size, isKept, took, timeout)
+			}
 		}
-		if took := time.Since(startedAt); took < timeout/2 || took > testTimeout {
-			t.Errorf("kept %t: the connection was closed after %v, want after %v", isKept, took, timeout)
+	}
+}
+
+// TestArrivedRequestIsReadAfterHeaderTimeout guards against a VM that is behind with its work, starts to read when the time for the head is
+// over, and closes the connection of a request that arrived in time.
+func TestArrivedRequestIsReadAfterHeaderTimeout(t *testing.T) {
+	caller, conn := acceptConn(t)
+	conn.listener.HeaderTimeout = func() time.Duration { return 50 * time.Millisecond }
+	send(t, caller, conn, testRequest)
+	time.Sleep(100 * time.Millisecond)
+	if err := conn.SetReadDeadline(time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := conn.Read(make([]byte, 2*len(testRequest))); n != len(testRequest) {
+		t.Errorf("read %d of %d bytes that had arrived, error %v", n, len(testRequest), err)
+	}
+}
+
+// TestEndOfHeadInParts guards against a whole head that passes for a part of one since its end arrives in two reads.
+func TestEndOfHeadInParts(t *testing.T) {
+	for at := 1; at < len(testRequest); at++ {
+		c := newTestConn()
+		c.beginHead([]byte(testRequest[:at]))
+		c.beginHead([]byte(testRequest[at:]))
+		if !c.isWhole {
+			t.Errorf("a head that arrives in parts of %d and %d bytes does not count as whole", at, len(testRequest)-at)
 		}
 	}
 }
