Let unfinished requests give way to new connections at the limit

What callers saw: beside a crowd whose bodies stopped a byte short, a VM closed each new connection without an answer until the bodies timed out.

Cause: at the limit on connections only those without a request gave way. A request with a head, or a part of one, counted as used however long it only waited for its caller.

Change: a connection knows since when its reader has waited for more of a head or of a body. At the limit, after the oldest unused connection, the request that has waited longest is interrupted, if for a second or more: its pending read fails, its handler refuses it as not run, and its connection closes. Data that has arrived by then takes the end back. A request that was read whole or runs is not touched. The search over all connections is made at the limit only, and at most ten times a second.

TestStalledRequestsYield, TestStalledHeadYields, TestInterruptedBodyIsRefused and TestDataTakesInterruptionBack fail without the interruption.

--- a/e2e/crowd/vm_test.go
+++ b/e2e/crowd/vm_test.go
@@ -1,6 +1,6 @@
 // Package crowd_test tests an entry VM, as a separate process, under callers and targets that hold on to its memory and its descriptors.
-// The tests check no times and no share of served calls, only that the process lives, what it holds, and that it answers ordinary calls.
-// They run one at a time.
+// The tests check no share of served calls, only that the process lives, what it holds, and that it answers ordinary calls. The only time
+// that they check is the platform's limit on how long a VM that says it is ready may take no new connection. They run one at a time.
 package crowd_test
 
 import (
@@ -70,8 +70,10 @@
 	t           *testing.T
 	crowdTarget *radishadaptertest.Target
 	address     string
-	cmd         *exec.Cmd
-	exited      chan struct{}
+	// readyAddress is the VM's address for readiness probes.
+	readyAddress string
+	cmd          *exec.Cmd
+	exited       chan struct{}
 	// peak is the most that the process held at once, in bytes; peakFDs is its highest number of open descriptors.
 	peak, peakFDs atomic.Int64
 }
@@ -127,11 +129,11 @@
 // start starts the VM and waits until it serves.
 func (s *site) start(storeAddress string) {
 	s.t.Helper()
-	s.address = freeAddress(s.t)
+	s.address, s.readyAddress = freeAddress(s.t), freeAddress(s.t)
 	_, metricsPort, _ := net.SplitHostPort(freeAddress(s.t))
 	settings := fmt.Sprintf("node_name=vm-1\nzone=bandung\nzones.bandung=jawa\nbind_addresses.front=%s\nbind_addresses.ready=%s\nbind_addresses.control=%s\n"+
 		"platform.address=%s\nbounds.grace_s=6\nbounds.budget_slack=100\nbounds.budget_ratio=0.2\nlimits.memory_mb=%d\nlimits.max_fds=%d\n",
-		s.address, freeAddress(s.t), freeAddress(s.t), storeAddress, memoryMB, maxFDs)
+		s.address, s.readyAddress, freeAddress(s.t), storeAddress, memoryMB, maxFDs)
 	file := filepath.Join(s.t.TempDir(), "vm-1.conf")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
--- a/internal/radishconn/conn.go
+++ b/internal/radishconn/conn.go
@@ -56,6 +56,10 @@
 	isWhole, hasAnswer bool
 	// isCut is whether reading failed before the end of the head.
 	isCut bool
+	// wait is what the reader of the connection waits for.
+	wait wait
+	// onKeep is called after data has taken back the end of the connection; nil if nobody is told.
+	onKeep func()
 	// cause is why the connection is closed; empty if not known.
 	cause    Cause
 	isClosed bool
@@ -84,6 +88,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseRequest
+	c.wait.isBody = false
 	c.keep()
 	c.head.SetState(radishmemory.Running, time.Now())
 }
@@ -168,10 +173,12 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.beginRead(len(p))
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isAboutToEnd() {
 		n, err = c.readArrived(p, err)
 	}
+	c.endRead(n)
 	if n > 0 && !c.countHead(p[:n]) {
 		return 0, ErrHeadTooLarge
 	}
--- a/internal/radishconn/limiter.go
+++ b/internal/radishconn/limiter.go
@@ -16,6 +16,10 @@
 const (
 	// minNewAge is the age from which on a connection on which no request has arrived yet may be closed in favour of another one.
 	minNewAge = time.Second
+	// minStallAge is the age from which on a read that waits for more of a request may be interrupted in favour of a new connection.
+	minStallAge = time.Second
+	// searchInterval is the shortest time between two searches for requests that wait for their callers.
+	searchInterval = 100 * time.Millisecond
 	// sweepInterval is the time between two searches for connections that have been idle for too long.
 	sweepInterval = time.Second
 	// logInterval is the shortest time between two log lines about refused connections.
@@ -33,10 +37,14 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]*entry
-	// ending is the number of connections that are about to be closed as unused; they no longer count as open.
+	// ending is the number of connections that are about to be closed in favour of others or as unused; they no longer count as open.
 	ending int
 	// unused holds the connections without a request that are not ending, in the order in which they became so.
-	unused   list.List
+	unused list.List
+	// stalled holds connections whose requests waited for their callers at searchedAt, the one that waited longest first.
+	stalled    []*entry
+	searchedAt time.Time
+
 	refused  int64
 	closed   int64
 	loggedAt time.Time
@@ -50,7 +58,7 @@
 // entry is an open connection.
 type entry struct {
 	conn *Conn
-	// isNew is whether it has had no request yet, isEnding whether it is about to be closed as unused.
+	// isNew is whether it has had no request yet, isEnding whether it is about to be closed in favour of others or as unused.
 	isNew, isEnding bool
 	// since is when the connection was accepted or its last request ended.
 	since time.Time
@@ -61,8 +69,8 @@
 // Stats counts the connections of a [Limiter].
 type Stats struct {
 	Open int
-	// Refused is the number of connections that were closed when they were accepted, Closed that of unused ones that were closed later
-	// or are about to be.
+	// Refused is the number of connections that were closed when they were accepted, Closed that of unused ones, and of those that waited for
+	// the rest of a request, that were closed later or are about to be.
 	Refused, Closed int64
 }
 
@@ -76,8 +84,8 @@
 // open returns the number of connections that are not about to be closed. The caller holds the lock.
 func (l *Limiter) open() int { return len(l.conns) - l.ending }
 
-// Listener returns a listener that accepts connections of the inner one within the limit. It closes those beyond the limit, unless an
-// unused one can be closed instead. A limiter has one listener.
+// Listener returns a listener that accepts connections of the inner one within the limit. It closes those beyond the limit, unless
+// an unused one, or one that only waits for its caller, can be closed instead. A limiter has one listener.
 func (l *Limiter) Listener(inner *HeadListener) net.Listener {
 	l.listener = &listener{HeadListener: inner, limiter: l, closed: make(chan struct{})}
 	return l.listener
@@ -98,17 +106,19 @@
 	}
 	e := &entry{conn: c, isNew: true, since: now}
 	e.element = l.unused.PushBack(e)
+	c.setOnKeep(func() { l.noteKept(e) })
 	l.conns[c] = e
 	return true
 }
 
-// makeRoom closes an unused connection at the limit and reports whether there is room for another connection.
+// makeRoom closes a connection at the limit that is unused or waits for the rest of a request, and reports whether there is room for
+// another connection.
 func (l *Limiter) makeRoom(now time.Time) bool {
 	if l.Max == nil {
 		return true
 	}
 	limit := l.Max()
-	if limit <= 0 || l.open() < limit || l.closeOldestUnused(now) {
+	if limit <= 0 || l.open() < limit || l.closeOldestUnused(now) || l.interruptLongestStalled(now) {
 		return true
 	}
 	l.refused++
@@ -143,14 +153,19 @@
 // end makes a connection close as unused and reports whether it was unused: its next request may have been read already, although the HTTP
 // server has not reported that yet. The caller holds the lock.
 func (l *Limiter) end(e *entry, cause Cause) bool {
-	if !e.conn.end(cause) {
+	if e.isEnding || !e.conn.end(cause) {
 		return false
 	}
+	l.countEnd(e)
+	return true
+}
+
+// countEnd counts the connection as one that is about to be closed.
+func (l *Limiter) countEnd(e *entry) {
 	l.unlist(e)
 	e.isEnding = true
 	l.ending++
 	l.closed++
-	return true
 }
 
 // unlist takes the connection out of the list of the unused ones.
@@ -197,7 +212,7 @@
 		l.unlist(e)
 	case http.StateIdle:
 		e.since = time.Now()
-		if e.element == nil {
+		if e.element == nil && !e.isEnding {
 			e.element = l.unused.PushBack(e)
 		}
 		if l.isDraining {
@@ -230,6 +245,8 @@
 	headerTimeout, idleTimeout := l.HeaderTimeout(), l.IdleTimeout()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// It may hold connections that have been closed since.
+	l.stalled = nil
 	for element := l.unused.Front(); element != nil; {
 		e := element.Value.(*entry)
 		element = element.Next()
