Say that a VM is not ready while it refuses connections

What callers saw: a VM whose connections were all in use closed each new one without an answer, and the platform went on to send it callers, since its readiness probe answered 200.

Cause: readiness knew only of a planned stop and of the store.

Change: for 2 s after a connection was refused, which is two probes, and while there is still no room, the VM isn't ready. The log has the begin of the state, at most one in 5 s, and its end; radishramp_is_ready follows.

--- a/e2e/crowd/room_test.go
+++ b/e2e/crowd/room_test.go
@@ -67,3 +67,32 @@
 	}
 	s.check("beside the crowd")
 }
+
+// TestFullVMIsNotReady guards against a VM that says it is ready while running requests hold all connections that it may have.
+func TestFullVMIsNotReady(t *testing.T) {
+	s := newSite(t)
+	stopped := make(chan struct{})
+	s.crowdTarget.SetInterceptor(func(http.ResponseWriter, *http.Request) bool {
+		<-stopped
+		return true
+	})
+	conns := s.hold(func() string { return requestHead("/crowd/x", announced(0)) })
+	isReady := true
+	for end := time.Now().Add(stabilityWindow); isReady && time.Now().Before(end); time.Sleep(tryInterval) {
+		_, _ = s.call("/plain/x", nil)
+		isReady = s.isReady()
+	}
+	if isReady {
+		t.Errorf("a VM without room said for %v that it was ready", stabilityWindow)
+	}
+	close(stopped)
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	for end := time.Now().Add(readyTimeout); !s.isReady(); time.Sleep(tryInterval) {
+		if time.Now().After(end) {
+			t.Fatal("the VM is not ready again after the crowd has left")
+		}
+	}
+	s.check("after the crowd has left")
+}
--- a/internal/radishconn/limiter.go
+++ b/internal/radishconn/limiter.go
@@ -48,6 +48,10 @@
 	refused  int64
 	closed   int64
 	loggedAt time.Time
+	// refusedAt is when the last connection was refused at the limit. isFullLogged is whether the log says that the limiter is full.
+	refusedAt    time.Time
+	isFullLogged bool
+	fullLoggedAt time.Time
 
 	listener *listener
 	// isDraining is whether Drain was called, isDrained whether no connection has been open since; drained is closed then.
@@ -122,6 +126,7 @@
 		return true
 	}
 	l.refused++
+	l.refusedAt = now
 	l.logRefusal(limit, now)
 	return false
 }
@@ -245,6 +250,7 @@
 	headerTimeout, idleTimeout := l.HeaderTimeout(), l.IdleTimeout()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.logFull(now)
 	// It may hold connections that have been closed since.
 	l.stalled = nil
 	for element := l.unused.Front(); element != nil; {
--- a/internal/radishsite/server.go
+++ b/internal/radishsite/server.go
@@ -229,7 +229,9 @@
 	})
 }
 
-func (s *Server) isReady() bool { return !s.leaving.Load() && s.state.isSynced() }
+func (s *Server) isReady() bool {
+	return !s.leaving.Load() && s.state.isSynced() && !s.callerConns.IsFull(time.Now())
+}
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !s.isReady() {
