Keep the cause of a head that was cut

What operators saw: radishramp_dropped_requests_total counted heads that did not arrive whole before a stop, or that lost their memory, under "server" in place of "stop" and "memory".

Cause: net/http reports a connection as active also after an error in its head; that took back the end of the connection, with its cause.

Change: a head that was cut takes back nothing, and its connection goes on to count as ending.

Evidence: TestDropsAreReported (the VM stops) and TestStalledHeadYields got "server" before, and "stop" and "displaced" after.

--- a/internal/radishconn/conn.go
+++ b/internal/radishconn/conn.go
@@ -131,10 +131,14 @@
 	_ = c.Conn.SetReadDeadline(c.readDeadline)
 }
 
-// Decoded must be called when the HTTP server has decoded the head of a request, which it may have read together with the request before.
+// Decoded must be called when the HTTP server has decoded the head of a request, which it may have read together with the request before. The
+// server reports a head that was cut, too.
 func (c *Conn) Decoded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isCut {
+		return
+	}
 	c.phase = phaseDecoded
 	c.keep()
 }
--- a/internal/radishconn/limiter.go
+++ b/internal/radishconn/limiter.go
@@ -213,7 +213,9 @@
 	switch state {
 	case http.StateActive:
 		e.isNew = false
-		l.keep(e)
+		if !e.conn.isAboutToEnd() {
+			l.keep(e)
+		}
 		l.unlist(e)
 	case http.StateIdle:
 		e.since = time.Now()
--- a/internal/radishconn/server_test.go
+++ b/internal/radishconn/server_test.go
@@ -200,6 +200,19 @@
 			t.Errorf("got %+v", d)
 		}
 	})
+	t.Run("the VM stops", func(t *testing.T) {
+		s := newTestServer(t, 0)
+		const part = "GET / HTTP/1.1\r\n"
+		if err := s.dial().send(part); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-s.startDrain(); err != nil {
+			t.Fatal(err)
+		}
+		if d := s.awaitDrop(); d.Cause != CauseStop || d.IsWhole || d.HeadBytes != len(part) {
+			t.Errorf("got %+v", d)
+		}
+	})
 	t.Run("an answered request is none", func(t *testing.T) {
 		s := newTestServer(t, 0)
 		s.mustExchange(s.dial())
--- a/internal/radishconn/stall_test.go
+++ b/internal/radishconn/stall_test.go
@@ -170,7 +170,7 @@
 	if status, err := c.status(); err == nil {
 		t.Errorf("part of a head: status %d", status)
 	}
-	if d := s.awaitDrop(); d.IsWhole {
+	if d := s.awaitDrop(); d.Cause != CauseDisplaced || d.IsWhole {
 		t.Errorf("got %+v", d)
 	}
 }
