Soak: a plain request needs its whole response in planned work

Change: a plain response is buffered before it is passed on, so it has to arrive whole; streams may be broken off by their targets.

--- a/e2e/soak_check_test.go
+++ b/e2e/soak_check_test.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// isLost reports whether a request got no response in time from a VM that was neither killed nor paused. A VM knows that a plain response is whole
+// before it passes it on; a stream may be broken off by its target.
+func (c *soakCall) isLost(isPlain bool) bool {
+	isWhole := c.status != 0
+	return c.unharmed && c.duration < soakDeadline && !isWhole && (isPlain || !c.isAnswered)
+}
+
 // completeStream is the body of a complete streamed response.
 const completeStream = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\nid: 4\ndata: token 4\n\nid: 5\ndata: token 5\n\n"
 
@@ -88,8 +95,8 @@
 	switch {
 	case isPlain && runs > 1:
 		s.t.Errorf("request %s at %s ran %d times, want at most once", c.id, c.vm, runs)
-	case runs > 0 && !c.isAnswered && c.unharmed && c.duration < soakDeadline:
-		s.t.Errorf("request %s at %s ran and got no response after %v, though the VM was neither killed nor paused", c.id, c.vm, c.duration)
+	case runs > 0 && c.isLost(isPlain):
+		s.t.Errorf("request %s at %s ran and got no whole response after %v, though the VM was neither killed nor paused", c.id, c.vm, c.duration)
 	case c.status == http.StatusOK && c.body != want:
 		s.t.Errorf("request %s at %s: got body %q, want %q", c.id, c.vm, c.body, want)
 	case c.status == http.StatusOK && isPlain && runs != 1:
