Count calls of a pause by when they reach the target

TestPausedTargetGetsNoCalls failed once beside a heavy load: "the paused target got 1 calls". No caller saw a fault.

Cause: the test counted all calls that it had sent in the first 1.3 s of a pause of 1.5 s. A VM that is not run for more than the last 200 ms of the pause passes such a call on after the end of the pause, which is allowed.

Trace, with the VM's process suspended for 300 ms shortly before the end of the pause, in ten pauses (in seven of them the VM was suspended): four calls were counted, all of them sent after the end of the pause:

target asked for a pause 37.574809 44.007134 47.161524 53.409332 VM suspended 38.891833 45.341266 48.462425 54.722817 call reaches the target 39.229332 45.645263 48.764394 55.025233 after the pause began 1.655 s 1.638 s 1.603 s 1.616 s

Change: the target takes the times of its calls, and no call may come less than the pause that it asked for after the one before it. This is as strict within the pause, and stricter in its last 200 ms and for the pauses of both targets that follow. A target that gets no call at all now fails the test.

--- a/e2e/announce_test.go
+++ b/e2e/announce_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -54,34 +56,66 @@
 	}
 }
 
-// TestPausedTargetGetsNoCalls has one of two targets reject a call and ask for a pause of 1.5 s, and then both.
+// pausingTarget rejects all calls and asks for a pause each time.
+type pausingTarget struct {
+	pause time.Duration
+
+	mu       sync.Mutex
+	arrivals []time.Time
+}
+
+// intercept is the interceptor of a target that pauses. The time of the arrival is taken before the response, so that the pause ends
+// at the VM, which counts it from the response on, no earlier than here.
+func (p *pausingTarget) intercept(w http.ResponseWriter, _ *http.Request) bool {
+	p.mu.Lock()
+	p.arrivals = append(p.arrivals, time.Now())
+	p.mu.Unlock()
+	w.Header().Set("Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(p.pause.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// count returns the number of calls so far.
+func (p *pausingTarget) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.arrivals)
+}
+
+// pausedArrivals returns, for each call that arrived in a pause, how long after the call that began the pause it came.
+func (p *pausingTarget) pausedArrivals() []time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var paused []time.Duration
+	for i := 1; i < len(p.arrivals); i++ {
+		if since := p.arrivals[i].Sub(p.arrivals[i-1]); since < p.pause {
+			paused = append(paused, since)
+		}
+	}
+	return paused
+}
+
+// TestPausedTargetGetsNoCalls has one of two targets reject a call and ask for a pause of 1.5 s, and then both. A call that is sent in the pause
+// and that the VM passes on after its end is allowed.
 func TestPausedTargetGetsNoCalls(t *testing.T) {
 	const pause = 1500 * time.Millisecond
 	s := newSiteCluster(t)
 	vm := s.startVM("vm-1")
-	var arrivals, lastArrival atomic.Int64
-	rejects := func(w http.ResponseWriter, _ *http.Request) bool {
-		arrivals.Add(1)
-		lastArrival.Store(time.Now().UnixMilli())
-		w.Header().Set("Not-Executed", "1")
-		w.Header().Set("Retry-After", "1.5")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return true
-	}
-	s.plainTargets[0].SetInterceptor(rejects)
-	for startedAt := time.Now(); arrivals.Load() == 0 && time.Since(startedAt) < 5*time.Second; {
+	first, second := &pausingTarget{pause: pause}, &pausingTarget{pause: pause}
+	s.plainTargets[0].SetInterceptor(first.intercept)
+	for startedAt := time.Now(); first.count() == 0 && time.Since(startedAt) < 5*time.Second; {
 		s.call(vm, "/plain/x", nil)
 	}
-	pausedAt, before := time.Now(), arrivals.Load()
-	for time.Since(pausedAt) < pause-200*time.Millisecond {
+	if first.count() == 0 {
+		t.Fatal("the target that asks for a pause got no call")
+	}
+	for pausedAt := time.Now(); time.Since(pausedAt) < pause-200*time.Millisecond; {
 		if status, body := s.call(vm, "/plain/x", nil); status != http.StatusOK {
 			t.Errorf("got status %d, body %q", status, body)
 		}
 	}
-	if n := arrivals.Load() - before; n > 0 {
-		t.Errorf("the paused target got %d calls, the last one %d ms after its pause began", n, lastArrival.Load()-pausedAt.UnixMilli())
-	}
-	s.plainTargets[1].SetInterceptor(rejects)
+	s.plainTargets[1].SetInterceptor(second.intercept)
 	s.call(vm, "/plain/x", nil)
 	time.Sleep(pause)
 	s.call(vm, "/plain/x", nil)
@@ -92,4 +126,9 @@
 	if took := time.Since(startedAt); took > 100*time.Millisecond {
 		t.Errorf("all targets paused: refused after %v, want at once", took)
 	}
+	for i, target := range []*pausingTarget{first, second} {
+		if paused := target.pausedArrivals(); len(paused) > 0 {
+			t.Errorf("the paused target plain-%d got %d calls, %v after its pause began", i, len(paused), paused)
+		}
+	}
 }
