Give crashed engines of the end-to-end tests a new start

Cause: the crashing engines of the test came back with the record of their first start. A target crashes once in its life, so VMs took all crashes of an engine for one. Where calls are so slow that the first engines are back before a third separate crash, the calls go to the same engines again and again, and the VMs learn nothing from it. Targets of the platform write the time of their new start.

Trace (the test beside a load average of 37): crashes 1 to 6 within 0.47 s at six engines, two separate crashes, as those within 250 ms count as one; then, 0.7 s later, crashes 7 to 12 at the same six engines, each reported with "crashes": 6; crash 13 at a seventh engine was the third separate one: "targets ended 3 times", and no call with the part arrived from then on, nor after either kill of all VMs.

Change: an engine that restarts writes a record with a new start. Bounds and calls of the test are as before.

--- a/e2e/harmful_prompt_test.go
+++ b/e2e/harmful_prompt_test.go
@@ -55,6 +55,7 @@
 // crashingEngine is an engine that crashes when it starts to respond to a call with the harmful part.
 type crashingEngine struct {
 	t       *testing.T
+	store   *radishadaptertest.Store
 	target  *radishadaptertest.Target
 	crashes *crashes
 
@@ -97,7 +98,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// crash closes all connections at once and restarts the engine after a while, unless it has crashed already.
+// crash closes all connections at once and restarts the engine after a while, unless it has crashed already. The engine then says when it
+// has started anew, without which VMs count its crashes as one.
 func (e *crashingEngine) crash() {
 	e.mu.Lock()
 	server := e.server
@@ -113,7 +115,10 @@
 	time.AfterFunc(engineDownTime, func() {
 		if err := e.start(); err != nil {
 			e.t.Logf("engine %s not restarted: %v", e.target.ID, err)
+			return
 		}
+		e.target.Restart()
+		e.store.Put("servers", e.target.ID, e.target.Record("engine", "bandung", "ready"))
 	})
 }
 
@@ -124,7 +129,7 @@
 	s.store.Remove("servers", s.engineTarget.ID)
 	seen := &crashes{}
 	for i := range 10 {
-		engine := &crashingEngine{t: t, crashes: seen, target: &radishadaptertest.Target{ID: fmt.Sprint("crashing-", i), Events: 5, Delay: 5 * time.Millisecond}}
+		engine := &crashingEngine{t: t, store: s.store, crashes: seen, target: &radishadaptertest.Target{ID: fmt.Sprint("crashing-", i), Events: 5, Delay: 5 * time.Millisecond}}
 		if err := engine.start(); err != nil {
 			t.Fatal(err)
 		}
