Reserve the ports of the end-to-end tests across processes

Cause: freePort closed the port that it had tried before it gave it out. Until the VM listens, and while it restarts, another test process (a second checkout, or the tests of crowds, which had a copy of the loop that could even draw one port twice) found the port free. The ports lie below the kernel's ephemeral range (32768 to 60999 here), so that outgoing connections do not take them; connections in TIME_WAIT do not keep a listener of package net from its port.

Change: a port stays bound until the test ends, by a socket that does not listen. It is bound without SO_REUSEADDR, which is set afterwards: no second reservation of the port succeeds, and the VM can listen there. Package radishporttest holds this for both test packages; TestPortsAreGivenOutOnce moves there unchanged but for the name of the function.

--- a/e2e/crowd/vm_test.go
+++ b/e2e/crowd/vm_test.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -23,6 +22,7 @@
 
 	"github.com/google/uuid"
 
+	"radishramp.example/radishramp/internal/radishporttest"
 	"radishramp.example/radishramp/platform/radishadaptertest"
 )
 
@@ -42,12 +42,6 @@
 	sampleInterval = 20 * time.Millisecond
 )
 
-// Range of the ports of the VM, below that of the kernel's outgoing connections.
-const (
-	firstPort = 12_000
-	lastPort  = 30_000
-)
-
 // binary is the program under test; TestMain builds it once.
 var binary string
 
@@ -111,27 +105,14 @@
 	store.Put("servers", target.ID, target.Record(service, "bandung", "ready"))
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for range 100 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
-		if err == nil {
-			_ = l.Close()
-			return l.Addr().String()
-		}
-	}
-	t.Fatal("no free port found")
-	return ""
-}
-
 // start starts the VM and waits until it serves.
 func (s *site) start(storeAddress string) {
 	s.t.Helper()
-	s.address = freeAddress(s.t)
-	_, metricsPort, _ := net.SplitHostPort(freeAddress(s.t))
+	s.address = radishporttest.Address(s.t)
+	_, metricsPort, _ := net.SplitHostPort(radishporttest.Address(s.t))
 	settings := fmt.Sprintf("node_name=vm-1\nzone=bandung\nzones.bandung=jawa\nbind_addresses.front=%s\nbind_addresses.ready=%s\nbind_addresses.control=%s\n"+
 		"platform.address=%s\nbounds.grace_s=6\nbounds.budget_slack=100\nbounds.budget_ratio=0.2\nlimits.memory_mb=%d\nlimits.max_fds=%d\n",
-		s.address, freeAddress(s.t), freeAddress(s.t), storeAddress, memoryMB, maxFDs)
+		s.address, radishporttest.Address(s.t), radishporttest.Address(s.t), storeAddress, memoryMB, maxFDs)
 	file := filepath.Join(s.t.TempDir(), "vm-1.conf")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
--- a/e2e/doctor_test.go
+++ b/e2e/doctor_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"radishramp.example/radishramp/internal/radishporttest"
 	"radishramp.example/radishramp/platform/radishadaptertest"
 )
 
@@ -32,7 +33,7 @@
 	if output, ok := s.runDoctor(s.newVM("front-2", s.storeAddress)); ok || !strings.Contains(output, "FAILED own record: not in the store: front-2") {
 		t.Errorf("VM that never ran: doctor printed %s", output)
 	}
-	if output, ok := s.runDoctor(s.newVM("front-3", freePort(t))); ok || !strings.Contains(output, "FAILED store, config") {
+	if output, ok := s.runDoctor(s.newVM("front-3", radishporttest.Address(t))); ok || !strings.Contains(output, "FAILED store, config") {
 		t.Errorf("store that does not respond: doctor printed %s", output)
 	}
 }
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -19,6 +19,7 @@
 	"github.com/google/uuid"
 
 	"radishramp.example/radishramp/internal/radishentry"
+	"radishramp.example/radishramp/internal/radishporttest"
 	"radishramp.example/radishramp/internal/radishstandin"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishconfig"
@@ -77,10 +78,10 @@
 
 func (s *cluster) startEntryVM(name string) *process {
 	s.t.Helper()
-	callerAddress, peerAddress := freePort(s.t), freePort(s.t)
+	callerAddress, peerAddress := radishporttest.Address(s.t), radishporttest.Address(s.t)
 	settings := fmt.Sprintf(`{"vm": {"name": %q, "data_centre": "ankara"}, "caller": {"listen": %q}, "operator": {"listen": %q},
 		"peer": {"listen": %q}, "platform": {"url": %q}, "shutdown": {"balancer_wait": "300ms", "grace": "10s"}, "log": {"level": "warn"}}`,
-		name, callerAddress, freePort(s.t), peerAddress, s.platformURL)
+		name, callerAddress, radishporttest.Address(s.t), peerAddress, s.platformURL)
 	file := filepath.Join(s.t.TempDir(), name+".json")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/google/uuid"
 
+	"radishramp.example/radishramp/internal/radishporttest"
 	"radishramp.example/radishramp/platform/radishadaptertest"
 )
 
@@ -141,7 +142,7 @@
 // newVM chooses addresses for a VM and writes its settings file; storeAddress is where it connects to the store.
 func (s *siteCluster) newVM(name, storeAddress string) *siteVM {
 	s.t.Helper()
-	frontAddress, readyAddress, controlAddress, metricsAddress := freePort(s.t), freePort(s.t), freePort(s.t), freePort(s.t)
+	frontAddress, readyAddress, controlAddress, metricsAddress := radishporttest.Address(s.t), radishporttest.Address(s.t), radishporttest.Address(s.t), radishporttest.Address(s.t)
 	settings := fmt.Sprintf("node_name=%s\nzone=bandung\nzones.bandung=jawa\nbind_addresses.front=%s\nbind_addresses.ready=%s\nbind_addresses.control=%s\n"+
 		"platform.address=%s\nbounds.grace_s=6\nbounds.budget_slack=100\nbounds.budget_ratio=0.2\nlimits.memory_mb=206\n", name, frontAddress, readyAddress, controlAddress, storeAddress) + s.settings
 	file := filepath.Join(s.t.TempDir(), name+".conf")
