--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -19,6 +19,7 @@
 	"github.com/google/uuid"
 
 	"radishramp.example/radishramp/internal/radishentry"
+	"radishramp.example/radishramp/internal/radishporttest"
 	"radishramp.example/radishramp/internal/radishstandin"
 	"radishramp.example/radishramp/pkg/radish"
 	"radishramp.example/radishramp/pkg/radishconfig"
@@ -79,7 +80,7 @@
 
 func (s *cluster) startEntryVM(name string) *process {
 	s.t.Helper()
-	callerAddress, operatorAddress, peerAddress := freePort(s.t), freePort(s.t), freePort(s.t)
+	callerAddress, operatorAddress, peerAddress := radishporttest.Address(s.t), radishporttest.Address(s.t), radishporttest.Address(s.t)
 	settings := fmt.Sprintf(`{"vm": {"name": %q, "data_centre": "ankara"}, "caller": {"listen": %q}, "operator": {"listen": %q},
 		"peer": {"listen": %q}, "platform": {"url": %q}, "shutdown": {"balancer_wait": "300ms", "grace": "10s"}, "log": {"level": "warn"}}`,
 		name, callerAddress, operatorAddress, peerAddress, s.platformURL)
