--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -192,6 +192,25 @@
 	})
 }
 
+// TestLongListsBeforeBodiesThatStopShort guards against lists in heads, within the limit on heads, that take far more memory decoded than on the
+// wire and are held while their bodies do not end.
+func TestLongListsBeforeBodiesThatStopShort(t *testing.T) {
+	const listBytes, bodyBytes = 15_000, 4 << 10
+	lists := map[string]string{
+		"empty parts":   "Prompt-Prefix: " + strings.Repeat(",", listBytes),
+		"short parts":   "Prompt-Prefix: " + strings.Repeat("a,", listBytes/2),
+		"counted parts": "Prompt-Prefix: " + strings.Repeat("a:1,", listBytes/4),
+		"pieces":        "Pieces: " + strings.Repeat(",", listBytes),
+		"connection":    "Connection: " + strings.Repeat("a,", listBytes/2),
+	}
+	for name, line := range lists {
+		t.Run(name, func(t *testing.T) {
+			request := requestHead("/crowd/x", announced(bodyBytes), line) + strings.Repeat("x", bodyBytes-1)
+			newSite(t).play(2*openers, func(conn net.Conn) { send(conn, []byte(request), maxBodyBytes, 0) })
+		})
+	}
+}
+
 // TestCallersThatDoNotRead guards against responses that pile up for callers that do not read them.
 func TestCallersThatDoNotRead(t *testing.T) {
 	s := newSite(t)
