Hold the IDs of prompt parts without their headers

The ID of a part is a slice of the header that it was decoded from, and the quarantine remembers up to 16,384 IDs of answered calls and 64 crashes with 256 parts each. Heads with short IDs in headers of 15,000 bytes could so hold some 245 MB that no account knows, with ordinary answers.

Change: the quarantine copies each ID that it keeps. A map takes over a key also where it has an equal one, so known IDs are copied each time.

TestPartsDoNotHoldHeads, 1,000 calls with headers of 15,000 bytes: 16.5 MB were held before; now less than the 1 MB that the test allows.

--- a/pkg/radishquarantine/crash.go
+++ b/pkg/radishquarantine/crash.go
@@ -63,6 +63,8 @@
 		if len(c.parts) >= MaxPartsPerCrash {
 			return false
 		}
+		// The ID is a part of a header, which must not be held with it.
+		p.ID = strings.Clone(p.ID)
 		c.parts[p.ID] = &p
 		return true
 	}
--- a/pkg/radishquarantine/quarantine.go
+++ b/pkg/radishquarantine/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -165,6 +166,8 @@
 	if len(q.answeredAt) >= maxKnownParts {
 		q.forgetOldParts(now)
 	}
+	// The ID is a part of a header, which must not be held with it. A map takes over the key also if it has an equal one.
+	key.part = strings.Clone(key.part)
 	q.answeredAt[key] = now
 }
 
