--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -211,6 +211,17 @@
 	}
 }
 
+// TestLongTrailerListsBeforeBodiesThatStopShort is like TestLongListsBeforeBodiesThatStopShort with announced trailers, which net/http decodes.
+func TestLongTrailerListsBeforeBodiesThatStopShort(t *testing.T) {
+	const names, bodyBytes = 3750, 4 << 10
+	list := make([]string, names)
+	for i := range list {
+		list[i] = fmt.Sprintf("%03x", i)
+	}
+	request := requestHead("/crowd/x", chunked, "Trailer: "+strings.Join(list, ",")) + fmt.Sprintf("%x\r\n", bodyBytes) + strings.Repeat("x", bodyBytes-1)
+	newSite(t).play(2*openers, func(conn net.Conn) { send(conn, []byte(request), maxBodyBytes, 0) })
+}
+
 // TestCallersThatDoNotRead guards against responses that pile up for callers that do not read them.
 func TestCallersThatDoNotRead(t *testing.T) {
 	s := newSite(t)
