Refuse a head without memory as not run

When memory was short, a proper request could get status 400, which callers do not repeat: reading a head failed with an error that stood for too large heads as well, and net/http takes every such error for a malformed request.

Change: a head without memory gets 503 with Retry-After and Connection: close on the raw connection, and nothing after it. Its bytes never reach net/http, so the request is not executed. Up to 64 kB more are read for at most 0.5 s, since the answer is lost if the connection is closed while the caller still sends. Heads beyond the limit still get 400. The retry time has moved to radishmemory, since both refusals use it.

TestHeadsCountTowardsMemory wanted status 400 of a head that does not end where the account has too little memory for it. That was wrong: whether that head is too large is not known when memory runs out, and a proper head got the same answer. It now wants the whole refusal: 503, Retry-After, Connection: close, nothing after it, the connection closed within 1 s and no call. Status 400 for the same head, with memory, is wanted by the new TestHeadBeyondLimitIsMalformed.

TestHeadsCountTowardsMemory and TestHeadWithoutMemoryIsRefused fail before with 400 and no Retry-After. TestRefusalOfHeadReachesItsCaller fails without the further reading (connection reset by peer).

--- a/internal/radishconn/conn.go
+++ b/internal/radishconn/conn.go
@@ -54,7 +54,7 @@
 	// beganAt is when the first byte of the head was read, isWhole whether its end was, and hasAnswer whether anything has been written since.
 	beganAt            time.Time
 	isWhole, hasAnswer bool
-	// isCut is whether reading failed before the end of the head.
+	// isCut is whether reading failed before the end of the head, or the head was refused: nothing more is written.
 	isCut bool
 	// cause is why the connection is closed; empty if not known.
 	cause    Cause
@@ -172,8 +172,13 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isAboutToEnd() {
 		n, err = c.readArrived(p, err)
 	}
-	if n > 0 && !c.countHead(p[:n]) {
-		return 0, ErrHeadTooLarge
+	if n > 0 {
+		if headErr := c.countHead(p[:n]); headErr != nil {
+			if errors.Is(headErr, errNoMemory) {
+				c.refuseHead(p)
+			}
+			return 0, headErr
+		}
 	}
 	if err != nil {
 		c.noteError()
@@ -223,8 +228,8 @@
 	return n, nil
 }
 
-// Write implements net.Conn. It fails after a head of which only a part could be read: net/http takes a part of its first line for a
-// malformed request, and callers do not repeat what gets status 400.
+// Write implements net.Conn. It fails after a head of which only a part could be read, or that was refused: net/http takes that for a malformed
+// request, and callers do not repeat what gets status 400.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	isCut := c.isCut
--- a/internal/radishconn/head.go
+++ b/internal/radishconn/head.go
@@ -23,8 +23,12 @@
 // endOfHead ends the head of a request.
 var endOfHead = []byte("\r\n\r\n")
 
-// ErrHeadTooLarge is the error of reading a head beyond the limit or without memory for it.
-var ErrHeadTooLarge = errors.New("head of the request is larger than the limit, or memory is short")
+var (
+	// ErrHeadTooLarge is the error of reading a head beyond the limit.
+	ErrHeadTooLarge = errors.New("head of the request is larger than the limit")
+	// errNoMemory is the error of reading a head without memory for it.
+	errNoMemory = errors.New("memory is short, the request was not read")
+)
 
 // HeadListener accepts connections on which the head of each request (request line and header) counts towards the account. Its exported
 // fields must be set before first use.
@@ -53,11 +57,17 @@
 	return conn, nil
 }
 
-// countHead counts bytes of a head and reports whether there is memory for them.
-func (c *Conn) countHead(p []byte) bool {
+// countHead counts bytes of a head. It returns an error if they are too many or there is no memory for them.
+func (c *Conn) countHead(p []byte) error {
 	head, ok := c.beginHead(p)
+	if !ok {
+		return ErrHeadTooLarge
+	}
 	// The account may cut off other connections for this one, so its lock is free.
-	return ok && head.Grow(int64(headByteCost*len(p)+headLineCost*bytes.Count(p, []byte("\n"))), time.Now())
+	if !head.Grow(int64(headByteCost*len(p)+headLineCost*bytes.Count(p, []byte("\n"))), time.Now()) {
+		return errNoMemory
+	}
+	return nil
 }
 
 // beginHead notes bytes of a head and returns its grant, or false if there are too many. The grant is nil if the bytes are not part of a head.
--- a/internal/radishconn/server_test.go
+++ b/internal/radishconn/server_test.go
@@ -65,6 +65,9 @@
 // SyscallConn implements syscall.Conn.
 func (c *hookConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
 
+// CloseWrite closes the connection for writing, as [net.TCPConn] can.
+func (c *hookConn) CloseWrite() error { return c.Conn.(interface{ CloseWrite() error }).CloseWrite() }
+
 // newTestServer returns a server that accepts up to limit connections; 0 means no limit. It serves from the first dial on.
 func newTestServer(t *testing.T, limit int) *testServer {
 	t.Helper()
--- a/internal/radishmemory/account.go
+++ b/internal/radishmemory/account.go
@@ -1,6 +1,7 @@
 package radishmemory
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -20,8 +21,14 @@
 	callerShare = 0.7
 	// stallTime is the time without growth after which a grant counts as stalled. A body that arrives at 64 kB a second does not stall.
 	stallTime = time.Second
+	// meanRetryAfter is the mean of RetryAfter. Stalled grants are withdrawn within a second.
+	meanRetryAfter = 2 * time.Second
 )
 
+// RetryAfter returns the time after which a request that was refused for lack of memory is to be repeated. It differs from call to call, so that
+// a crowd does not come back at once.
+func RetryAfter() time.Duration { return meanRetryAfter/2 + rand.N(meanRetryAfter) }
+
 // Account grants memory out of a budget. Its exported fields must be set before first use. A nil *Account grants everything.
 type Account struct {
 	// Budget returns the bytes that all grants may hold together; 0 means no limit.
