Keep a target that left after an outage in use no longer than allowed

What callers saw: a target that left without announcing it, one to two seconds after a VM had reached the store again, went on getting calls and calls for stages for two seconds from the news of it, so later than a target that leaves may get them.

Cause: records that expired in an outage come back within two seconds of its end, but each removal that became known in these two seconds was given two seconds more.

Change: the grace ends two seconds after the outage, whenever the removal becomes known. A removal that becomes known during an outage is treated as before.

Evidence: TestTargetGoneAfterOutageIsNotKeptLonger fails on the code before in two of four cases ("the target is still usable when it must get no more calls").

--- a/internal/radishsite/cluster_state.go
+++ b/internal/radishsite/cluster_state.go
@@ -16,10 +16,8 @@
 const (
 	// minOutage is how long no call to the store must have succeeded for that to count as an outage, in which records of targets may expire.
 	minOutage = time.Second
-	// outageWindow is how long after an outage of the store the removal of a target's record is attributed to the outage.
-	outageWindow = 2 * time.Second
-	// lapsedRecordGrace is how long a target stays in use after its record expired during an outage, so that a running
-	// target can write it again.
+	// lapsedRecordGrace is how long after an outage of the store the removal of a target's record is attributed to the outage. The target stays
+	// in use until then, so that a running one can write its record again.
 	lapsedRecordGrace = 2 * time.Second
 )
 
@@ -142,16 +140,18 @@
 	}
 }
 
-// removeTarget removes a target at once. If there was an outage of the store shortly before, it removes the target after a grace period unless
-// its record has reappeared.
+// removeTarget removes a target at once. If there was an outage of the store shortly before, it removes the target at the end of a grace period
+// unless its record has reappeared.
 func (c *clusterState) removeTarget(r radish.Record, source string) {
-	if !c.wasStoreAway(time.Now()) {
+	grace := c.outageGrace(time.Now())
+	if grace <= 0 {
 		c.fleet.Remove(r.Name)
 		c.log.Info("target gone", "target", r.Name, "revision", r.Revision.String(), "source", source)
 		return
 	}
-	c.log.Info("target's record lapsed while the store was away", "target", r.Name, "revision", r.Revision.String(), "source", source)
-	time.AfterFunc(lapsedRecordGrace, func() { c.removeLapsed(r) })
+	c.log.Info("target's record lapsed while the store was away", "target", r.Name, "revision", r.Revision.String(), "source", source,
+		"grace_ms", grace.Milliseconds())
+	time.AfterFunc(grace, func() { c.removeLapsed(r) })
 }
 
 // removeLapsed removes a target whose record has not reappeared.
@@ -241,11 +241,18 @@
 	return !c.failingSince.IsZero() && now.Sub(c.failingSince) >= minOutage
 }
 
-// wasStoreAway reports whether there is an outage of the store or was one shortly before.
-func (c *clusterState) wasStoreAway(now time.Time) bool {
+// outageGrace returns how much longer targets stay in use whose records are removed now: 0 or less if there was no outage of the store shortly
+// before. The time runs from the end of the outage, since the removal of a target that leaves must not take effect later for it.
+func (c *clusterState) outageGrace(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.isOutage(now) || !c.outageEndedAt.IsZero() && now.Sub(c.outageEndedAt) < outageWindow
+	if c.isOutage(now) {
+		return lapsedRecordGrace
+	}
+	if c.outageEndedAt.IsZero() {
+		return 0
+	}
+	return c.outageEndedAt.Add(lapsedRecordGrace).Sub(now)
 }
 
 // isStoreUnreachable reports whether the last call to the store failed.
--- a/internal/radishsite/cluster_state_test.go
+++ b/internal/radishsite/cluster_state_test.go
@@ -130,6 +130,29 @@
 	})
 }
 
+// TestTargetGoneAfterOutageIsNotKeptLonger guards against calls to a target that left up to two seconds after an outage at this VM, later than a target
+// that has left may get them.
+func TestTargetGoneAfterOutageIsNotKeptLonger(t *testing.T) {
+	const drainTime, stabilityWindow, newsDelay = 2 * time.Second, 3 * time.Second, 500 * time.Millisecond
+	for _, leavesAfter := range []time.Duration{0, 700 * time.Millisecond, 1400 * time.Millisecond, 1700 * time.Millisecond} {
+		t.Run(leavesAfter.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				state := newTestState()
+				state.applyNew(targetRecord("t1", 1, "ready"))
+				state.recordStoreCall(time.Now(), false)
+				time.Sleep(time.Second)
+				state.recordStoreCall(time.Now(), true)
+				time.Sleep(leavesAfter + newsDelay)
+				state.applyNew(targetRecord("t1", 2, "removed"))
+				time.Sleep(max(leavesAfter+drainTime, stabilityWindow) - leavesAfter - newsDelay)
+				if state.usableCount() != 0 {
+					t.Error("the target is still usable when it must get no more calls")
+				}
+			})
+		})
+	}
+}
+
 // TestFailedCallsBetweenOthersAreNoOutage guards against keeping a target that has left in use since some calls to the store failed while others
 // succeeded, some of them late.
 func TestFailedCallsBetweenOthersAreNoOutage(t *testing.T) {
