Soak: targets that leave beside faults of VMs and drills of the store

Change: in each round one target of each service leaves, announced or by the removal of its record, before the store comes back from an older copy or when it is stable again, beside VMs that are stopped, killed, paused or cut off from the store. None may get a call, or one for stages, later than two seconds after the store's acknowledgement and three seconds after the last fault. It is a test of its own, so that the draws of TestSoak stay the same for a seed; the callers and the choice of seeds are shared with it. make soak runs both.

--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 		./platform/radishadapter:FuzzParseSite ./platform/radishadapter:FuzzRecords ./platform/radishadapter:FuzzDecodeCall; do go test -run XXX -fuzz "^$${target#*:}$$" -fuzztime 10s "$${target%:*}" || exit 1; done
 
 soak: ## Play COUNT seeds of drawn faults from SEED (0: new ones) against entry VMs as processes, SECONDS of faults each.
-	go test -count=1 -v -timeout 120m -run '^TestSoak$$' ./e2e -soak.first=$(SEED) -soak.seeds=$(COUNT) -soak.seconds=$(SECONDS)
+	go test -count=1 -v -timeout 120m -run '^TestSoak(OfLeavingTargets)?$$' ./e2e -soak.first=$(SEED) -soak.seeds=$(COUNT) -soak.seconds=$(SECONDS)
 
 lint: ## Check format and style.
 	test -x $(TOOLS)/golangci-lint || $(MAKE) setup
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -54,16 +54,21 @@
 // TestSoak injects random faults, derived from a seed, into entry VMs, the store and links under load. It checks the
 // responses that callers get and the requests that run at targets.
 func TestSoak(t *testing.T) {
+	for seed := range soakRegressions {
+		t.Run(fmt.Sprint("regression-", seed), func(t *testing.T) { runSoak(t, seed) })
+	}
+	runSoakSeeds(t, runSoak)
+}
+
+// runSoakSeeds runs the seeds that the flags name.
+func runSoakSeeds(t *testing.T, run func(t *testing.T, seed uint64)) {
 	first := *soakFirstSeed
 	if first == 0 {
 		first = uint64(time.Now().UnixNano() % 1e9)
 	}
-	for seed := range soakRegressions {
-		t.Run(fmt.Sprint("regression-", seed), func(t *testing.T) { runSoak(t, seed) })
-	}
 	for n := range *soakSeedCount {
 		seed := first + uint64(n)
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, seed) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { run(t, seed) })
 	}
 }
 
@@ -111,14 +116,7 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	s := newSoak(t, seed)
-	stop := make(chan struct{})
-	var callers sync.WaitGroup
-	for _, vm := range s.vms {
-		for range soakCallersPerVM {
-			random := rand.New(rand.NewPCG(seed, s.random.Uint64()))
-			callers.Go(func() { s.sendUntil(stop, vm, random) })
-		}
-	}
+	stopCallers := s.startCallers(seed)
 	period := time.Duration(*soakSeconds) * time.Second
 	var others sync.WaitGroup
 	others.Go(func() { s.announce(seed, period) })
@@ -128,14 +126,29 @@
 	others.Wait()
 	s.checkRecovery()
 	s.checkChanges()
-	close(stop)
-	callers.Wait()
+	stopCallers()
 	s.checkCalls()
 	if t.Failed() {
 		t.Logf("reproduce with: go test ./e2e -run TestSoak -soak.first=%d -soak.seeds=1 -soak.seconds=%d -soak.vms=%d", seed, *soakSeconds, *soakVMCount)
 	}
 }
 
+// startCallers starts the callers of all VMs and returns a function that stops them.
+func (s *soak) startCallers(seed uint64) func() {
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for _, vm := range s.vms {
+		for range soakCallersPerVM {
+			random := rand.New(rand.NewPCG(seed, s.random.Uint64()))
+			callers.Go(func() { s.sendUntil(stop, vm, random) })
+		}
+	}
+	return func() {
+		close(stop)
+		callers.Wait()
+	}
+}
+
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{siteCluster: newSiteCluster(t), random: rand.New(rand.NewPCG(seed, 0)), startedAt: time.Now()}
 	s.store.SetEra(1)
