--- a/e2e/stop_read_test.go
+++ b/e2e/stop_read_test.go
@@ -113,20 +113,11 @@
 	s := newCluster(t)
 	p := s.startEntryVM("entry-1")
 	const request = "GET /healthz HTTP/1.1\r\nHost: a.example\r\n\r\n"
-	requests := []*splitRequest{
+	checkEntryStop(t, p,
 		openConn(t, "kept connection, part of the head was sent", p.callerAddress, request, request).begin(t, firstPart),
 		openConn(t, "new connection, part of the head was sent", p.callerAddress, "", request).begin(t, firstPart),
 		openConn(t, "new connection, nothing was sent", p.callerAddress, "", request),
-	}
-	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	// The VM accepts connections for 0.3 s after the signal.
-	time.Sleep(500 * time.Millisecond)
-	checkSplitRequests(t, requests)
-	if err := p.cmd.Wait(); err != nil {
-		t.Errorf("entry VM exited with %v", err)
-	}
+	)
 }
 
 // TestEntryAnswersOperatorsDuringItsStop guards against a stop that closes the connections of operators whose requests have begun.
@@ -134,13 +125,16 @@
 	s := newCluster(t)
 	p := s.startEntryVM("entry-1")
 	const request = "GET /v1/status HTTP/1.1\r\nHost: a.example\r\n\r\n"
-	requests := []*splitRequest{
-		openConn(t, "operator, part of the head was sent", p.operatorAddress, request, request).begin(t, firstPart),
-	}
+	checkEntryStop(t, p, openConn(t, "operator, part of the head was sent", p.operatorAddress, request, request).begin(t, firstPart))
+}
+
+// checkEntryStop stops the VM and checks that the requests are answered whose rest is sent after it has stopped accepting.
+func checkEntryStop(t *testing.T, p *process, requests ...*splitRequest) {
+	t.Helper()
 	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	// Without calls, the VM stops 0.3 s after the signal.
+	// The VM accepts connections for 0.3 s after the signal.
 	time.Sleep(500 * time.Millisecond)
 	checkSplitRequests(t, requests)
 	if err := p.cmd.Wait(); err != nil {
--- a/internal/radishconn/server_test.go
+++ b/internal/radishconn/server_test.go
@@ -160,17 +160,19 @@
 }
 
 // sendPart sends a part of a head on a connection and returns when the server has read it.
-func (s *testServer) sendPart(part string) {
+func (s *testServer) sendPart(part string) *testCaller {
 	s.t.Helper()
 	read := make(chan struct{})
 	onRead := func() { close(read) }
 	s.onRead.Store(&onRead)
-	if err := s.dial().send(part); err != nil {
+	c := s.dial()
+	if err := c.send(part); err != nil {
 		s.t.Fatal(err)
 	}
 	<-read
 	// The bytes are counted right after the hook.
 	time.Sleep(100 * time.Millisecond)
+	return c
 }
 
 // awaitDrop returns the next request that was dropped.
@@ -187,42 +189,27 @@
 
 // TestDropsAreReported guards against requests that end with their connection and leave no trace of why.
 func TestDropsAreReported(t *testing.T) {
-	t.Run("the caller leaves", func(t *testing.T) {
-		s := newTestServer(t, 0)
-		c := s.dial()
-		const part = "GET / HTTP/1.1\r\n"
-		if err := c.send(part); err != nil {
-			t.Fatal(err)
-		}
-		if err := c.Close(); err != nil {
-			t.Fatal(err)
-		}
-		if d := s.awaitDrop(); d.Cause != CauseRead || d.IsWhole || d.HeadBytes != len(part) {
-			t.Errorf("got %+v", d)
-		}
-	})
-	t.Run("the server is closed", func(t *testing.T) {
-		s := newTestServer(t, 0)
-		const part = "GET / HTTP/1.1\r\n"
-		s.sendPart(part)
-		if err := s.http.Close(); err != nil {
-			t.Fatal(err)
-		}
-		if d := s.awaitDrop(); d.Cause != CauseServer || d.IsWhole || d.HeadBytes != len(part) {
-			t.Errorf("got %+v", d)
-		}
-	})
-	t.Run("the VM stops", func(t *testing.T) {
-		s := newTestServer(t, 0)
-		const part = "GET / HTTP/1.1\r\n"
-		s.sendPart(part)
-		if err := <-s.startDrain(); err != nil {
-			t.Fatal(err)
-		}
-		if d := s.awaitDrop(); d.Cause != CauseStop || d.IsWhole || d.HeadBytes != len(part) {
-			t.Errorf("got %+v", d)
-		}
-	})
+	const part = "GET / HTTP/1.1\r\n"
+	for _, tc := range []struct {
+		name string
+		// end ends the connection of the caller.
+		end  func(s *testServer, c *testCaller) error
+		want Cause
+	}{
+		{"the caller leaves", func(_ *testServer, c *testCaller) error { return c.Close() }, CauseRead},
+		{"the server is closed", func(s *testServer, _ *testCaller) error { return s.http.Close() }, CauseServer},
+		{"the VM stops", func(s *testServer, _ *testCaller) error { return <-s.startDrain() }, CauseStop},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newTestServer(t, 0)
+			if err := tc.end(s, s.sendPart(part)); err != nil {
+				t.Fatal(err)
+			}
+			if d := s.awaitDrop(); d.Cause != tc.want || d.IsWhole || d.HeadBytes != len(part) {
+				t.Errorf("got %+v", d)
+			}
+		})
+	}
 	t.Run("an answered request is none", func(t *testing.T) {
 		s := newTestServer(t, 0)
 		s.mustExchange(s.dial())
