Split the connections of callers into smaller files

Cause: conn.go and drain.go had grown with what other goroutines do to a connection.

Change: what cuts off, the listener, and the way from a request to its connection have files of their own. Functions are moved, none is changed.

--- a/internal/radishconn/conn.go
+++ b/internal/radishconn/conn.go
@@ -1,10 +1,8 @@
 package radishconn
 
 import (
-	"context"
 	"errors"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -263,38 +261,6 @@
 	return c.Conn.Write(p)
 }
 
-// CutOff returns the function by which the account cuts the connection off for the current request. It does nothing once that has ended, since
-// the account calls it some time after it has withdrawn the memory.
-func (c *Conn) CutOff() func(radishmemory.State) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	request := c.requests
-	return func(state radishmemory.State) { c.cutOff(request, state) }
-}
-
-// cutOff makes pending and later reads of the request fail, and its writes if it was sending: the refusal of a call that was received
-// must reach its caller.
-func (c *Conn) cutOff(request int, state radishmemory.State) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if request != c.requests || c.phase != phaseRequest {
-		return
-	}
-	_ = c.Conn.SetReadDeadline(expired)
-	if state == radishmemory.Sending {
-		_ = c.SetWriteDeadline(expired)
-	}
-}
-
-// cutOffHead makes the connection close if the head of the request has not arrived whole.
-func (c *Conn) cutOffHead(request int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if request == c.requests {
-		c.interruptHead(CauseMemory)
-	}
-}
-
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mu.Lock()
@@ -307,26 +273,3 @@
 	}
 	return c.Conn.Close()
 }
-
-type connKey struct{}
-
-// WithConn is the ConnContext function of an HTTP server: requests of the connection can find it by [ConnOf].
-func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// ConnOf returns the connection of a request, or nil if it is not a *Conn.
-func ConnOf(ctx context.Context) *Conn {
-	c, _ := ctx.Value(connKey{}).(*Conn)
-	return c
-}
-
-// Handler returns a handler that ends the heads of requests before it calls the next one.
-func Handler(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := ConnOf(r.Context()); c != nil {
-			c.EndHead()
-		}
-		next.ServeHTTP(w, r)
-	})
-}
