--- a/e2e/crowd/room_test.go
+++ b/e2e/crowd/room_test.go
@@ -12,7 +12,7 @@
 const (
 	// holders is the size of a crowd that is larger than the VM's limit on callers' connections.
 	holders = maxFDs / 2
-	// stabilityWindow is how long a VM that says it is ready may take no new connection (rule RECOVER).
+	// stabilityWindow is how long a VM that says it is ready may take no new connection.
 	stabilityWindow = 3 * time.Second
 	// tryTime is how long new connections are tried beside a crowd, and tryInterval the time between two tries.
 	tryTime     = 2 * stabilityWindow
--- a/internal/radishconn/conn.go
+++ b/internal/radishconn/conn.go
@@ -17,7 +17,8 @@
 type phase int
 
 const (
-	// phaseWaiting is the time in which no byte of the next request has been read: the connection is unused.
+	// phaseWaiting is the time in which no byte of the next request has been read: the connection is unused. If the HTTP server has read a
+	// request together with the one before, this phase lasts until Decoded.
 	phaseWaiting phase = iota
 	// phaseHead is the time from the first byte of a request until its head has been decoded.
 	phaseHead
@@ -30,8 +31,8 @@
 // expired is a deadline in the past: reads and writes with it fail at once.
 var expired = time.Unix(1, 0)
 
-// Conn is a connection of a caller. Only the goroutine that reads from it closes it: others end it by letting its next read
-// fail, so that a request that has been read is always handled.
+// Conn is a connection of a caller. Except when the HTTP server is closed, only the goroutine that reads from it closes it: others end it by
+// letting its next read fail, so that a request that has been read is always handled. A read that returns data takes the end back.
 type Conn struct {
 	net.Conn
 	listener   *HeadListener
--- a/internal/radishconn/limiter.go
+++ b/internal/radishconn/limiter.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// minNewAge is the age from which on a connection on which no request has arrived yet may be closed in favour of another one.
+	// minNewAge is the age from which on a connection on which no request has arrived yet may be closed in favour of another one, and during a
+	// drain one on which a head has begun to arrive.
 	minNewAge = time.Second
 	// minStallAge is the age from which on a read that waits for more of a request may be interrupted in favour of a new connection.
 	minStallAge = time.Second
